--- a/shunttally/adapter.py
+++ b/tansyspur/adapter.py
@@ -1,4 +1,4 @@
-"""Translates the bench's wire to events of shunttally/interface.py, and actions back to lines.
+"""Translates the bench's wire to events of tansyspur/interface.py, and actions back to lines.
 
 Each instance has a Controller of its own and shares nothing with the others. No decision is made here.
 """
@@ -10,8 +10,8 @@
 from collections.abc import Callable, Iterator
 from typing import Any, TextIO
 
-from shunttally import interface as face
-from shunttally.policy import Controller
+from tansyspur import interface as face
+from tansyspur.policy import Controller
 
 OUTCOMES = {
     "pass": face.Outcome.ENDED,
@@ -338,7 +338,7 @@
         sys.stdin.reconfigure(encoding="utf-8")
         converse(iter(sys.stdin), sys.stdout)
     except (WireError, UnicodeDecodeError) as error:
-        print(f"shunttally: {error}", file=sys.stderr)
+        print(f"tansyspur: {error}", file=sys.stderr)
         return 2
     return 0
 
--- a/shunttally/interface.py
+++ b/tansyspur/interface.py
@@ -1,4 +1,4 @@
-"""The types between a softswitch and the decisions in shunttally/policy.py: settings, events, actions.
+"""The types between a softswitch and the decisions in tansyspur/policy.py: settings, events, actions.
 
 Times are integer nanoseconds (suffix _ns). A figure that is not known is None, never zero or -1.
 """
--- a/shunttally/policy.py
+++ b/tansyspur/policy.py
@@ -1,4 +1,4 @@
-"""Every decision of a softswitch. Settings, events and actions are the types of shunttally/interface.py.
+"""Every decision of a softswitch. Settings, events and actions are the types of tansyspur/interface.py.
 
 A call goes direct while its trunk group has room. A blocked call draws a tandem with probability
 proportional to the free fraction of its route (PSBU, remaining-capacity form). Fill reports to peers come
@@ -11,8 +11,8 @@
 from dataclasses import dataclass, field, replace
 from itertools import takewhile
 
-from shunttally import interface as face
-from shunttally.interface import Cause, Effect, ExchangeState, ListKind, Outcome
+from tansyspur import interface as face
+from tansyspur.interface import Cause, Effect, ExchangeState, ListKind, Outcome
 
 MOST_RESERVED, RESERVED_SHARE = 2, 0.1  # trunk reservation: one circuit, two in a group of twenty or more
 REPORTS_PER_S = 1.0  # fill reports a second from a group that is full: the paper's alpha, design page
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from shunttally import interface as face
-from shunttally.policy import Controller
+from tansyspur import interface as face
+from tansyspur.policy import Controller
 
 S = 1_000_000_000
 MS = 1_000_000
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from shunttally import interface as face
-from shunttally.adapter import Host, WireError, converse, format_action, parse_report, parse_settings
+from tansyspur import interface as face
+from tansyspur.adapter import Host, WireError, converse, format_action, parse_report, parse_settings
 
 PROFILE = {
     "balancers": 3,
@@ -138,7 +138,7 @@
 
 def test_the_process_says_one_plain_line_and_fails():
     run = subprocess.run(
-        [sys.executable, "-m", "shunttally.adapter"], input="nonsense\n", capture_output=True, text=True
+        [sys.executable, "-m", "tansyspur.adapter"], input="nonsense\n", capture_output=True, text=True
     )
     assert run.returncode != 0
-    assert run.stderr == "shunttally: line 1: not a JSON value\n"
+    assert run.stderr == "tansyspur: line 1: not a JSON value\n"
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -6,12 +6,12 @@
 
 import pytest
 
-from shunttally import interface as face
-from shunttally.policy import Controller
+from tansyspur import interface as face
+from tansyspur.policy import Controller
 from tests.conftest import MS, Desk, S, of_kind, settings, tokens
 
 HEAD = ">BII"  # format, the sender's exchange number, the first number in the rows
-POLICY = Path(__file__).parent.parent / "shunttally" / "policy.py"
+POLICY = Path(__file__).parent.parent / "tansyspur" / "policy.py"
 
 
 def fills(sender, first, *steps):
@@ -31,7 +31,7 @@
     lines = [text for text in POLICY.read_text().splitlines() if text.strip()]
     assert len(lines) <= 460
     assert max(map(len, lines)) <= 110
-    assert "shunttally/interface.py" in lines[0] + lines[1]
+    assert "tansyspur/interface.py" in lines[0] + lines[1]
 
 
 # The ordinary path
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -3,7 +3,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from shunttally import interface as face
+from tansyspur import interface as face
 from tests.conftest import MS, OWN, Desk, S
 
 GRACE_NS = 20 * MS
