--- /dev/null
+++ b/tansyspur/__main__.py
@@ -0,0 +1,88 @@
+"""The gatekeeper: `python -m tansyspur [--operator FILE]`.
+
+Exit codes: 0 ended as told, 1 cannot run (an address is taken, say), 2 an unusable configuration.
+"""
+
+import argparse
+import asyncio
+import signal
+import sys
+
+from tansyspur import config as configuration
+from tansyspur.core.gatekeeper import Gatekeeper
+from tansyspur.net.channel import Channel
+from tansyspur.net.jsonlines import JsonLinesFront
+from tansyspur.net.peers import Peers
+from tansyspur.net.sip import SipSwitch
+from tansyspur.syslog import Syslog
+
+ACCEPT_S = 0.8  # after SIGTERM, connections and requests keep coming for 0.6 s
+EXIT_MARGIN_S = 0.4  # before the time at which SIGKILL may come
+READY_S = 1.5  # a switch that cannot be dialled must not keep the gatekeeper from its test for longer
+
+
+async def serve(config: configuration.Config, log: Syslog) -> int:
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    switches: list[SipSwitch] = []
+
+    def make_switch(name, address, on_report):
+        made = SipSwitch(name, address, on_report, log, config.dial_timeout_s, config.idle_s)
+        switches.append(made)
+        return made
+
+    gatekeeper = Gatekeeper(config.settings, config.seed, make_switch, log)
+    peers = Peers(list(config.peers), config.peers_all, gatekeeper.peer_message, log)
+    if config.peer_listen and config.settings.may_message:
+        await peers.open(config.peer_listen)
+        gatekeeper.messenger = peers
+    channel = Channel(config.channel or "", gatekeeper.list_changed, log)
+    channel.known(dict(config.known))
+    if config.channel:
+        gatekeeper.spawn(channel.run(), "command channel")
+    started = loop.time()
+
+    def ready() -> bool:
+        return loop.time() - started > READY_S or all(one.ever_dialled.is_set() for one in switches)
+
+    front = JsonLinesFront(gatekeeper, log, config.limits.sockets * 6 // 10, ready)
+    await front.listen(*config.listen)
+    log("notice", "start", "listening", name=config.name, address=":".join(map(str, config.listen)))
+    await stop.wait()
+
+    log("notice", "stop", "finishing what was taken", calls=len(gatekeeper.calls))
+    stopped = loop.time()
+    await asyncio.sleep(ACCEPT_S)
+    front.stop_accepting()
+    until = stopped + max(3.0, config.longest_deadline_s) + 0.7 - EXIT_MARGIN_S
+    await gatekeeper.finish(until - loop.time())
+    front.close()
+    gatekeeper.close()
+    peers.close()
+    await asyncio.sleep(0.05)  # the last releases leave
+    return 0
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(prog="tansyspur", description="The gatekeeper of one store switch.")
+    parser.add_argument("--operator", metavar="FILE", help="the operator's TOML file, see deploy/")
+    arguments = parser.parse_args()
+    try:
+        config = configuration.load(operator=arguments.operator)
+    except configuration.ConfigError as error:
+        print(f"tansyspur: {error}", file=sys.stderr)
+        return 2
+    log = Syslog(config.name, config.syslog.level, config.syslog.export)
+    try:
+        return asyncio.run(serve(config, log))
+    except OSError as error:
+        log("error", "start", f"cannot run: {error}")
+        return 1
+    finally:
+        log.close()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tansyspur/core/gatekeeper.py
@@ -0,0 +1,393 @@
+"""The gatekeeper: one Controller, the clock, the list of carrier switches, and a task for each call."""
+
+import asyncio
+import contextlib
+import itertools
+import traceback
+from collections.abc import Callable, Coroutine, Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+from tansyspur import interface as face
+from tansyspur.core import guard, ports
+from tansyspur.core.clock import Clock
+from tansyspur.core.ports import CallerLeft, CallerLeg, Ended, Listing, Offer, Stood, Switch
+from tansyspur.policy import Controller
+
+DEADLINE_MARGIN_MS = 10  # the final answer leaves this much before the caller stops waiting
+MOST_CALLS = 20_000  # calls open at once; more are refused unheard
+
+Log = Callable[..., None]
+Order = face.SetUp | face.Refuse | face.Fail
+NEEDS_RELEASE = (face.Outcome.TIMED_OUT, face.Outcome.CUT, face.Outcome.CANCELLED)
+REFUSAL_CAUSES = {
+    face.Cause.PROCESSOR_FULL: ports.CONGESTION,
+    face.Cause.FAR_PROCESSOR_FULL: ports.CONGESTION,
+}
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    call_id: int  # the module's; the caller's id is in the offer
+    offer: Offer
+    caller: CallerLeg
+    expires_ns: int
+    signals: asyncio.Queue[ports.Signal | Order] = field(default_factory=asyncio.Queue)
+    attempts: int = 0
+    ready_ns: int = 0  # rule 5: no set-up before this
+    last_cause: face.Cause | None = None
+    exchange_id: int = -1  # of the attempt that is out or stood
+    sent_ns: int = 0
+    task: asyncio.Task[None] | None = None
+
+    def left(self, cause: int = ports.NORMAL_CLEARING) -> None:
+        """For the front: the caller gave up or hung up."""
+        self.signals.put_nowait(CallerLeft(cause))
+
+
+class Gatekeeper:
+    def __init__(
+        self,
+        settings: face.Settings,
+        seed: int,
+        make_switch: ports.SwitchMaker,
+        log: Log,
+        clock: Clock | None = None,
+    ) -> None:
+        self.settings = settings
+        self.controller = Controller(settings, seed)
+        self.make_switch = make_switch
+        self.log = log
+        self.clock = clock or Clock()
+        self.messenger: ports.Messenger | None = None
+        self.calls: dict[int, Call] = {}
+        self.listed: dict[str, Listing] = {}
+        self.names: dict[int, str] = {}  # the module's exchange ids to names, and back
+        self.exchange_ids: dict[str, int] = {}
+        self.switches: dict[int, Switch] = {}
+        self.reports: dict[int, face.Report] = {}  # the last one of each group
+        self.call_ids = itertools.count(1)
+        self.next_exchange_id = itertools.count(1)
+        self.tasks: set[asyncio.Task[Any]] = set()
+
+    # What fronts, switches, channel and peers tell
+
+    def offer(self, offer: Offer, caller: CallerLeg) -> Call | None:
+        """A call is offered; None if it was refused unheard."""
+        if len(self.calls) >= MOST_CALLS:
+            self.log("warning", "overfull", "too many open calls", call=offer.wire_id)
+            caller.refuse(ports.CONGESTION, self.settings.max_retry_advice_ns // 1_000_000)
+            return None
+        margin_ms = min(DEADLINE_MARGIN_MS, offer.left_ms / 10)
+        expires_ns = self.clock.now_ns() + int((offer.left_ms - margin_ms) * 1e6)
+        call = Call(next(self.call_ids), offer, caller, expires_ns)
+        self.calls[call.call_id] = call
+        call.task = self.spawn(self._serve(call), f"call {offer.wire_id}")
+        return call
+
+    def list_changed(self, kind: face.ListKind, rows: Iterable[Listing]) -> None:
+        rows = list(rows)
+        if kind is not face.ListKind.CHANGES:
+            there = {row.name for row in rows}
+            gone = [name for name in self.listed if name not in there]
+            for name in gone:
+                self._unlist(name)
+        exchanges = tuple(self._enter(row) for row in rows)
+        self.consult(face.ExchangeList(kind, exchanges))
+
+    def _enter(self, row: Listing) -> face.Exchange:
+        exchange_id = self.exchange_ids.get(row.name)
+        if exchange_id is None:
+            exchange_id = self.exchange_ids[row.name] = next(self.next_exchange_id)
+            self.names[exchange_id] = row.name
+        known = self.listed.get(row.name)
+        switch = self.switches.get(exchange_id)
+        if row.state is not face.ExchangeState.IN_SERVICE and switch:
+            switch.closed_to_new()
+        if row.state is face.ExchangeState.GONE:
+            self._unlist(row.name)
+            return row.as_exchange(exchange_id)
+        if switch and known and known.address != row.address:
+            switch.retire()
+            switch = None
+        self.listed[row.name] = row
+        if switch is None and row.number != self.settings.own_exchange:
+            self.switches[exchange_id] = self.make_switch(
+                row.name, row.address, lambda report: self._group_report(exchange_id, report)
+            )
+        return row.as_exchange(exchange_id)
+
+    def _unlist(self, name: str) -> None:
+        self.listed.pop(name, None)
+        exchange_id = self.exchange_ids.pop(name, -1)
+        self.names.pop(exchange_id, None)
+        self.reports.pop(exchange_id, None)
+        switch = self.switches.pop(exchange_id, None)
+        if switch:
+            switch.closed_to_new()
+            switch.retire()
+
+    def _group_report(self, exchange_id: int, report: face.Report) -> None:
+        if exchange_id in self.names:
+            self.reports[exchange_id] = report
+        self.consult(face.GroupReport(exchange_id, face.Outcome.ENDED, 0, report))
+
+    def peer_message(self, sender: int, data: bytes) -> None:
+        self.consult(face.PeerMessage(sender, data))
+
+    # The module is asked, and its actions applied
+
+    def consult(self, event: face.Event) -> None:
+        for action in self.controller.handle(self.clock.now_ns(), event):
+            self._apply(action)
+
+    def _apply(self, action: face.Action) -> None:
+        match action:
+            case face.SetUp(call_id) | face.Refuse(call_id) | face.Fail(call_id):
+                call = self.calls.get(call_id)
+                if call is None:
+                    self.log("warning", "guard", "an order for a call that is over", order=str(action))
+                else:
+                    call.signals.put_nowait(action)
+            case face.SetTimer(token, at_ns):
+                loop = asyncio.get_running_loop()
+                loop.call_at(self.clock.loop_time(at_ns), self.consult, face.TimerDue(token))
+            case face.SendMessage(peer, data):
+                if self.messenger:
+                    self.messenger.send(peer, data)
+            case face.Probe(exchange_id):
+                self._probe(exchange_id)
+            case face.Recall(call_id):
+                self.log("warning", "recall", "a recall is not in use here", call=call_id)
+            case face.AskList():
+                self.log("info", "list", "the list comes unasked on the command channel")
+            case face.Log(text):
+                self.log("info", "module", text)
+
+    def _probe(self, exchange_id: int) -> None:
+        asked_ns, switch = self.clock.now_ns(), self.switches.get(exchange_id)
+
+        def tell(outcome: face.Outcome, report: face.Report | None) -> None:
+            self.consult(face.GroupReport(exchange_id, outcome, self.clock.now_ns() - asked_ns, report))
+
+        if switch:
+            switch.probe(tell)
+
+    # The life of a call
+
+    async def _serve(self, call: Call) -> None:
+        try:
+            leg = await self._set_up(call)
+            if leg is not None:
+                await self._standing(call, leg)
+        finally:
+            self.calls.pop(call.call_id, None)
+
+    async def _set_up(self, call: Call) -> ports.SwitchLeg | None:
+        """Offered, decision, attempt, answer; the leg if the call stands, None if all is answered."""
+        self.consult(self._offered(call))
+        while True:
+            order = await self._decision(call)
+            if not isinstance(order, face.SetUp):
+                self._final(call, order)
+                return None
+            leg, result = await self._attempt(call, order)
+            elapsed_ns = self.clock.now_ns() - call.sent_ns
+            if isinstance(result, Stood) and leg is not None:
+                stands = face.CallStands(call.call_id, call.attempts - 1, order.exchange_id, elapsed_ns)
+                self.consult(stands)
+                if call.caller.answer(result.description):
+                    self._record(call, "stands", elapsed_ns)
+                    return leg
+                # Guards against a call left standing at the switch when its caller went as the answer came.
+                leg.release(ports.NORMAL_CLEARING)
+                result = CallerLeft()
+            if isinstance(result, CallerLeft):
+                self._abandon(call)
+                self._attempt_over(call, Ended(face.Outcome.CANCELLED), final=True)
+                self._record(call, "given up", elapsed_ns)
+                return None
+            if result.outcome in NEEDS_RELEASE:
+                call.ready_ns = self.clock.now_ns() + self.settings.release_ns
+            call.last_cause = result.cause
+            self._record(call, f"attempt: {result.outcome.value}", elapsed_ns)
+            self._attempt_over(call, result, final=False)
+
+    async def _decision(self, call: Call) -> Order | CallerLeft:
+        """The module's next order for this call. It may hold the call; at the deadline the answer is owed."""
+        try:
+            async with asyncio.timeout_at(self.clock.loop_time(call.expires_ns)):
+                while True:
+                    signal = await call.signals.get()
+                    if isinstance(signal, Order):
+                        return signal
+                    if isinstance(signal, CallerLeft):
+                        break
+        except TimeoutError:
+            self.log("warning", "guard", "no decision by the deadline", call=call.offer.wire_id)
+            signal = face.Fail(call.call_id)
+        self._abandon(call)
+        return signal
+
+    async def _attempt(
+        self, call: Call, order: face.SetUp
+    ) -> tuple[ports.SwitchLeg | None, Stood | Ended | CallerLeft]:
+        """One attempt, until it stands, ends, times out, or the caller leaves. None is out afterwards."""
+        decided_ns = call.sent_ns = self.clock.now_ns()
+        call.attempts, call.exchange_id = call.attempts + 1, order.exchange_id
+        name = self.names.get(order.exchange_id, "")
+        decided, switch = self.listed.get(name), self.switches.get(order.exchange_id)
+        until_ns = call.expires_ns
+        if order.time_out_ns:
+            until_ns = min(until_ns, decided_ns + order.time_out_ns)
+
+        def may_send() -> bool:
+            objection = guard.objection(
+                self.settings, call.offer, call.attempts, call.ready_ns, until_ns, decided, decided_ns,
+                self.listed.get(name), self.clock.now_ns(),
+            )  # fmt: skip
+            if objection:
+                self.log("warning", "guard", objection, call=call.offer.wire_id, switch=name)
+            return objection is None
+
+        if switch is None:
+            return None, Ended(face.Outcome.NO_ROUTE)
+        wait_ms = max(1, (until_ns - decided_ns) // 1_000_000)
+        request = ports.SetUpRequest(call.offer, call.attempts - 1, wait_ms)
+        leg = switch.place(request, may_send, call.signals.put_nowait)
+        result: Stood | Ended | CallerLeft = Ended(face.Outcome.TIMED_OUT)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout_at(self.clock.loop_time(until_ns)):
+                result = await self._attempt_signal(call)
+        if result == Ended(face.Outcome.TIMED_OUT):
+            # Guards against losing an answer that came in the very turn of the time-out: it is queued.
+            while not call.signals.empty():
+                signal = call.signals.get_nowait()
+                if isinstance(signal, Stood | Ended | CallerLeft):
+                    result = signal
+                    break
+        if isinstance(result, CallerLeft) or result == Ended(face.Outcome.TIMED_OUT):
+            leg.cancel()
+            self._release_unheard(call, leg)
+        return leg, result
+
+    async def _attempt_signal(self, call: Call) -> Stood | Ended | CallerLeft:
+        while True:
+            signal = await call.signals.get()
+            if isinstance(signal, Stood | Ended | CallerLeft):
+                return signal
+
+    def _release_unheard(self, call: Call, leg: ports.SwitchLeg) -> None:
+        """An answer that was queued behind the caller's leaving lost the race: release it at the switch."""
+        while not call.signals.empty():
+            if isinstance(call.signals.get_nowait(), Stood):
+                leg.release(ports.NORMAL_CLEARING)
+
+    async def _standing(self, call: Call, leg: ports.SwitchLeg) -> None:
+        """Until the switch or the caller releases the call; the other side is told at once."""
+        signal = await call.signals.get()
+        while not isinstance(signal, Ended | CallerLeft):
+            signal = await call.signals.get()
+        if isinstance(signal, CallerLeft):
+            leg.release(signal.cause)
+            self._attempt_over(call, Ended(face.Outcome.CANCELLED), final=True)
+            call.caller.release(signal.cause)
+        else:
+            ended_well = signal.outcome is face.Outcome.ENDED
+            call.caller.release(ports.NORMAL_CLEARING if ended_well else ports.TEMPORARY_FAILURE)
+            self._attempt_over(call, signal, final=True)
+        self._record(call, "released", self.clock.now_ns() - call.sent_ns)
+
+    # Parts of it
+
+    def _offered(self, call: Call) -> face.CallOffered:
+        offer = call.offer
+        return face.CallOffered(
+            call_id=call.call_id,
+            class_name=offer.class_name,
+            expires_ns=call.expires_ns,
+            destination=offer.destination,
+            circuits=offer.circuits,
+            number=offer.number,
+            via=offer.via,
+            in_transit=offer.in_transit,
+            redial=offer.redial,
+            was_cut=offer.was_cut,
+        )
+
+    def _attempt_over(self, call: Call, ended: Ended, final: bool) -> None:
+        """Tell the module. Where nothing left, the circuits it counted as taken are free as last reported."""
+        report = ended.report
+        if report is None and ended.outcome in (face.Outcome.NO_ROUTE, face.Outcome.NOT_SENT):
+            report = self.reports.get(call.exchange_id)
+        elapsed_ns = self.clock.now_ns() - call.sent_ns
+        self.consult(
+            face.AttemptEnded(
+                call.call_id, call.attempts - 1, call.exchange_id, ended.outcome, elapsed_ns, final,
+                cause=ended.cause, report=report,
+            )
+        )  # fmt: skip
+
+    def _abandon(self, call: Call) -> None:
+        """The module owes this call nothing more. A set-up that it ordered meanwhile never leaves."""
+        self.consult(face.CallGone(call.call_id))
+        while not call.signals.empty():
+            order = call.signals.get_nowait()
+            if isinstance(order, face.SetUp):
+                call.attempts, call.exchange_id = call.attempts + 1, order.exchange_id
+                call.sent_ns = self.clock.now_ns()
+                self._attempt_over(call, Ended(face.Outcome.NOT_SENT), final=True)
+
+    def _final(self, call: Call, order: Order | CallerLeft) -> None:
+        """The final answer, unless the caller has left."""
+        match order:
+            case face.Refuse(_, retry_in_ns):
+                cause = REFUSAL_CAUSES.get(call.last_cause, ports.NO_CIRCUIT)
+                call.caller.refuse(cause, retry_in_ns // 1_000_000)
+                self._record(call, "refused")
+            case face.Fail():
+                call.caller.fail(ports.TEMPORARY_FAILURE)
+                self._record(call, "failed")
+            case CallerLeft():
+                self._record(call, "given up")
+
+    def _record(self, call: Call, what: str, elapsed_ns: int = 0) -> None:
+        self.log(
+            "info", "call", what, call=call.offer.wire_id, **{"class": call.offer.class_name},
+            to=call.offer.destination, switch=self.names.get(call.exchange_id, ""), attempts=call.attempts,
+            cause=call.last_cause.value if call.last_cause else "", ms=elapsed_ns // 1_000_000,
+        )  # fmt: skip
+
+    # Running and ending
+
+    def spawn(self, work: Coroutine[Any, Any, None], name: str) -> asyncio.Task[None]:
+        """A task whose exception is logged, and which is not lost while it runs."""
+        task = asyncio.get_running_loop().create_task(work, name=name)
+        self.tasks.add(task)
+        task.add_done_callback(self._done)
+        return task
+
+    def _done(self, task: asyncio.Task[Any]) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()):
+            self.log("error", "task", f"{task.get_name()} failed: {error!r}", trace=trace_of(error))
+
+    async def finish(self, seconds: float) -> None:
+        """Let the calls end by themselves for so long, then release those that still stand."""
+        tasks = [call.task for call in self.calls.values() if call.task]
+        if tasks:
+            await asyncio.wait(tasks, timeout=seconds)
+        for call in list(self.calls.values()):
+            call.left(ports.TEMPORARY_FAILURE)
+        rest = [call.task for call in self.calls.values() if call.task]
+        if rest:
+            await asyncio.wait(rest, timeout=0.2)
+
+    def close(self) -> None:
+        for switch in self.switches.values():
+            switch.close()
+
+
+def trace_of(error: BaseException) -> str:
+    frames = traceback.extract_tb(error.__traceback__)[-3:]
+    return " < ".join(f"{frame.name}:{frame.lineno}" for frame in reversed(frames))
--- /dev/null
+++ b/tansyspur/core/guard.py
@@ -0,0 +1,42 @@
+"""The last guard: the rules, once more, at the moment a set-up would be written.
+
+The module keeps the rules by itself; on sockets time passes between its decision and the write. Whatever the
+guard stops is logged, as it means that a decision was late or wrong.
+"""
+
+from tansyspur import interface as face
+from tansyspur.core.ports import Listing, Offer
+
+COLD_DELAY_NS = 100_000_000  # a set-up to a cold switch that is held up longer would join a later burst
+
+
+def objection(
+    settings: face.Settings,
+    offer: Offer,
+    attempts: int,
+    ready_ns: int,
+    expires_ns: int,
+    decided: Listing | None,
+    decided_ns: int,
+    listed: Listing | None,
+    now_ns: int,
+) -> str | None:
+    """Why this set-up must not leave now; None if it may."""
+    if listed is None or listed.state is not face.ExchangeState.IN_SERVICE:
+        return "the switch drains or is gone"  # rule 3
+    if not listed.same_start(decided):
+        return "the switch has started anew since the decision"  # rule 4
+    cold = listed.started_ns is not None and now_ns < listed.started_ns + settings.ramp_ns
+    if cold and now_ns - decided_ns > COLD_DELAY_NS:
+        return "the set-up to a cold switch was held up"  # rule 4
+    if now_ns < ready_ns:
+        return "the attempt before it may still hold circuits"  # rule 5
+    if now_ns >= expires_ns:
+        return "the caller waits no longer"  # rule 1
+    if attempts > settings.max_attempts:
+        return "too many attempts"
+    if listed.number == settings.own_exchange:
+        return "a set-up to the own exchange"
+    if offer.in_transit and listed.number != offer.destination:
+        return "a call in transit past its destination"
+    return None
--- /dev/null
+++ b/tansyspur/core/ports.py
@@ -0,0 +1,135 @@
+"""What the core asks of those who bring calls and those who take them, and what they tell it."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import Protocol
+
+from tansyspur import interface as face
+
+# Causes of Q.850 that the core gives; the fronts translate them where their wire has others.
+NORMAL_CLEARING = 16
+NO_CIRCUIT = 34
+TEMPORARY_FAILURE = 41
+CONGESTION = 42
+TIMER_EXPIRED = 102
+
+
+@dataclass(slots=True, frozen=True)
+class Offer:
+    """A call as its caller asked for it. Id, number and description pass through unchanged."""
+
+    wire_id: str
+    class_name: str
+    left_ms: float
+    destination: int
+    number: str
+    description: str
+    circuits: float = 1
+    via: int | None = None
+    in_transit: bool = False
+    redial: bool = False
+    was_cut: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class SetUpRequest:
+    """One attempt, as a carrier switch is asked for it."""
+
+    offer: Offer
+    attempt: int
+    wait_ms: int
+
+
+# What a leg tells the call it belongs to.
+
+
+@dataclass(slots=True, frozen=True)
+class Stood:
+    description: str
+
+
+@dataclass(slots=True, frozen=True)
+class Ended:
+    outcome: face.Outcome
+    cause: face.Cause | None = None
+    report: face.Report | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class CallerLeft:
+    """The caller gave the set-up up, or hung up a call that stood."""
+
+    cause: int = NORMAL_CLEARING
+
+
+SwitchSignal = Stood | Ended
+Signal = Stood | Ended | CallerLeft
+
+
+class CallerLeg(Protocol):
+    """The caller's side of one call."""
+
+    def answer(self, description: str) -> bool:
+        """Pass the answer on; false if the caller can no longer be reached."""
+
+    def refuse(self, cause: int, wait_ms: int) -> None: ...
+
+    def fail(self, cause: int) -> None: ...
+
+    def release(self, cause: int) -> None:
+        """The call that stood is over."""
+
+
+class SwitchLeg(Protocol):
+    """The carrier switch's side of one attempt. Having been cancelled or released it tells no more."""
+
+    def cancel(self) -> None: ...
+
+    def release(self, cause: int) -> None: ...
+
+
+class Switch(Protocol):
+    """One carrier switch."""
+
+    def place(
+        self, request: SetUpRequest, may_send: Callable[[], bool], tell: Callable[[SwitchSignal], None]
+    ) -> SwitchLeg:
+        """Start an attempt. may_send() is asked at the very write, which may be later than this call."""
+
+    def probe(self, tell: Callable[[face.Outcome, face.Report | None], None]) -> None: ...
+
+    def closed_to_new(self) -> None:
+        """It drains or is gone: what is not fully written must not leave any more."""
+
+    def retire(self) -> None:
+        """It is gone: nothing new comes; close as soon as no call is left."""
+
+    def close(self) -> None: ...
+
+
+@dataclass(slots=True, frozen=True)
+class Listing:
+    """An entry of the list of carrier switches. The name is its identity; addresses are used again."""
+
+    name: str
+    address: str
+    number: int
+    state: face.ExchangeState
+    zone: str = ""
+    started_ns: int | None = None
+
+    def as_exchange(self, exchange_id: int) -> face.Exchange:
+        return face.Exchange(exchange_id, self.number, self.state, self.zone, self.started_ns)
+
+    def same_start(self, other: "Listing | None") -> bool:
+        return other is not None and replace(other, zone=self.zone, address=self.address) == self
+
+
+class Messenger(Protocol):
+    """The way to the other gatekeepers."""
+
+    def send(self, peer: int | None, data: bytes) -> None: ...
+
+
+class SwitchMaker(Protocol):
+    def __call__(self, name: str, address: str, on_report: Callable[[face.Report], None]) -> Switch: ...
--- /dev/null
+++ b/tansyspur/net/channel.py
@@ -0,0 +1,118 @@
+"""The command channel: numbered changes of the list, resumed from a cursor after each reconnect."""
+
+import asyncio
+import json
+from collections.abc import Callable
+from typing import Any
+
+from tansyspur import interface as face
+from tansyspur.core.ports import Listing
+from tansyspur.net.framing import Chunks
+from tansyspur.net.link import Link
+
+SILENT_S = 3.5  # a cursor comes each second; without one for so long the link is taken for cut
+DIAL_S = 1.0
+REDIAL_S = 0.25
+STATES = {
+    "up": face.ExchangeState.IN_SERVICE,
+    "draining": face.ExchangeState.DRAINING,
+    "removed": face.ExchangeState.GONE,
+}
+
+Log = Callable[..., None]
+OnList = Callable[[face.ListKind, list[Listing]], None]
+
+
+def parse_listing(row: Any) -> Listing:
+    """One entry; a ValueError names what is wrong with it."""
+    if not isinstance(row, dict):
+        raise ValueError("an entry is not an object")
+    name, address, group = row.get("name"), row.get("address"), row.get("group")
+    if not isinstance(name, str) or not name or not isinstance(group, int):
+        raise ValueError("an entry has an unusable name or group")
+    state = STATES.get(row.get("status", ""))
+    if state is None:
+        raise ValueError(f"entry {name} has an unknown status")
+    usable = isinstance(address, str) and address.rpartition(":")[2].isdigit()
+    if not usable and state is not face.ExchangeState.GONE:
+        raise ValueError(f"entry {name} has an unusable address")
+    since = row.get("since_ms") or 0
+    started_ns = int(since * 1_000_000) if isinstance(since, int | float) and since > 0 else None
+    zone = row.get("zone") if isinstance(row.get("zone"), str) else ""
+    return Listing(name, address if usable else "", group, state, zone, started_ns)
+
+
+class Channel:
+    def __init__(self, address: str, on_list: OnList, log: Log) -> None:
+        self.host, _, port = address.rpartition(":")
+        self.port = int(port or 0)
+        self.on_list, self.log = on_list, log
+        self.cursor = 0
+
+    def known(self, known: dict[str, Any]) -> None:
+        """What the configuration already holds."""
+        for event in known.get("cmds") or []:
+            self._event(event)
+        cursor = known.get("cursor")
+        self.cursor = max(self.cursor, cursor if isinstance(cursor, int) else 0)
+
+    def _event(self, event: Any) -> None:
+        cursor = event.get("cursor") if isinstance(event, dict) else None
+        if not isinstance(cursor, int) or cursor <= self.cursor:
+            return  # told again after a reconnect
+        self.cursor = cursor
+        nodes = event.get("nodes")
+        if not isinstance(nodes, dict):
+            return
+        rows = []
+        for entry in nodes.get("endpoints") or []:
+            try:
+                rows.append(parse_listing(entry))
+            except ValueError as error:
+                self.log("warning", "channel", str(error), cursor=cursor)
+        self.on_list(face.ListKind.WHOLE if nodes.get("snapshot") else face.ListKind.CHANGES, rows)
+
+    def _line(self, text: memoryview) -> None:
+        if not text.tobytes().strip():
+            return
+        try:
+            row = json.loads(str(text, "utf-8"))
+        except (ValueError, RecursionError):
+            return self.log("warning", "channel", "a line that is not JSON was dropped")
+        if isinstance(row, dict):
+            self._event(row)
+        elif isinstance(row, int) and row > self.cursor:
+            # Guards against an event that was lost on the way: the cursor is ahead of what came.
+            raise ConnectionError(f"event {self.cursor + 1} is missing")
+
+    async def run(self) -> None:
+        """Connected for as long as it can be, and resumed from the last event known."""
+        while True:
+            try:
+                async with asyncio.timeout(DIAL_S):
+                    reader, writer = await asyncio.open_connection(self.host, self.port)
+            except (TimeoutError, OSError):
+                await asyncio.sleep(REDIAL_S)
+                continue
+            link = Link(reader, writer)
+            link.write(b"resume %d\n" % self.cursor)
+            await self._listen(link)
+            await asyncio.sleep(REDIAL_S)
+
+    async def _listen(self, link: Link) -> None:
+        def take(chunks: Chunks) -> None:
+            watch.reschedule(link.loop.time() + SILENT_S)
+            while (text := chunks.line()) is not None:
+                self._line(text)
+
+        ended = "silent"
+        try:
+            async with asyncio.timeout(SILENT_S) as watch:
+                ended = await link.read_all(take)
+        except TimeoutError:
+            pass
+        except Exception as error:  # noqa: BLE001 - what cannot be read must cost a reconnect, no more
+            ended = repr(error)
+        finally:
+            link.abort()
+        self.log("notice", "channel", f"connection ended: {ended}")
--- /dev/null
+++ b/tansyspur/syslog.py
@@ -0,0 +1,87 @@
+"""Call records and warnings as RFC 5424 lines on standard error, rate-limited, and optionally over UDP."""
+
+import os
+import re
+import socket
+import sys
+import time
+from datetime import UTC, datetime
+
+SEVERITIES = {"error": 3, "warning": 4, "notice": 5, "info": 6, "debug": 7}
+FACILITY = 16  # local0
+SD_ID = "call@32473"  # the enterprise number of RFC 5612, for documentation
+LINES_PER_S = 50.0
+BURST = 200.0
+LONGEST = 1800  # characters of one value or message; RFC 5424 asks receivers to take 2048 octets
+
+
+def escape(value: object) -> str:
+    """A PARAM-VALUE: section 6.3.3 escapes '"', '\\' and ']'; line ends would break the line."""
+    text = str(value)[:LONGEST]
+    text = "".join(mark if mark.isprintable() else "?" for mark in text)
+    return re.sub(r'(["\\\]])', r"\\\1", text)
+
+
+def printable(text: str, longest: int) -> str:
+    """A header field: 1 to so many printable ASCII characters, or the nil value."""
+    return re.sub(r"[^!-~]", "", text)[:longest] or "-"
+
+
+class Syslog:
+    def __init__(
+        self,
+        host: str,
+        threshold: str = "info",
+        export: tuple[str, int] | None = None,
+        app: str = "tansyspur",
+    ) -> None:
+        self.head = f"{printable(host, 255)} {printable(app, 48)} {os.getpid()}"
+        self.threshold = SEVERITIES[threshold]
+        self.allowance, self.filled_at, self.dropped = BURST, time.monotonic(), 0
+        self.told_at = 0.0
+        self.export = export
+        self.socket: socket.socket | None = None
+        if export:
+            family = socket.AF_INET6 if ":" in export[0] else socket.AF_INET
+            self.socket = socket.socket(family, socket.SOCK_DGRAM)
+            self.socket.setblocking(False)
+
+    def __call__(self, level: str, msgid: str, text: str, /, **params: object) -> None:
+        """Write one line, or count it as dropped."""
+        severity = SEVERITIES[level]
+        if severity > self.threshold:
+            return
+        now = time.monotonic()
+        self.allowance = min(BURST, self.allowance + (now - self.filled_at) * LINES_PER_S)
+        self.filled_at = now
+        if self.allowance < 1:
+            self.dropped += 1
+            return
+        self.allowance -= 1
+        if self.dropped and now - self.told_at >= 1:
+            self.told_at = now
+            dropped, self.dropped = self.dropped, 0
+            self._emit(4, "dropped", f"{dropped} lines were dropped", {"lines": dropped})
+        self._emit(severity, msgid, text, params)
+
+    def _emit(self, severity: int, msgid: str, text: str, params: dict[str, object]) -> None:
+        line = self.format(severity, msgid, text, params)
+        print(line, file=sys.stderr, flush=True)
+        if self.socket and self.export:
+            try:
+                self.socket.sendto(line.encode(), self.export)
+            except OSError:
+                self.dropped += 1
+
+    def format(self, severity: int, msgid: str, text: str, params: dict[str, object]) -> str:
+        stamp = datetime.now(UTC).isoformat(timespec="milliseconds").replace("+00:00", "Z")
+        pairs = "".join(f' {name}="{escape(value)}"' for name, value in params.items() if value != "")
+        data = f"[{SD_ID}{pairs}]" if pairs else "-"
+        message = "".join(mark if mark.isprintable() else "?" for mark in text[:LONGEST])
+        return f"<{FACILITY * 8 + severity}>1 {stamp} {self.head} {printable(msgid, 32)} {data} {message}"
+
+    def close(self) -> None:
+        if self.dropped:
+            self._emit(4, "dropped", f"{self.dropped} lines were dropped", {"lines": self.dropped})
+        if self.socket:
+            self.socket.close()
