Match SIP answers by Call-ID and method: second attempts went unheard

Checked: a trace of what the module knew at each refusal showed a set-up delay of 0.4 to 1 s toward it with circuits free; a trace of outcomes showed each second attempt timed out and no first one. A probe on the answers showed 'CSeq: 1 INVITE' for set-ups sent with 2. Wrong: sip.py compared the answer's number with the attempt's. PROTOCOL: matched on Call-ID, and the method. Conclusion: time-outs of our own making pressed the module's delay estimate, which then refused the first tries too.

--- a/tansyspur/core/gatekeeper.py
+++ b/tansyspur/core/gatekeeper.py
@@ -210,7 +210,7 @@
             if result.outcome in NEEDS_RELEASE:
                 call.ready_ns = self.clock.now_ns() + self.settings.release_ns
             call.last_cause = result.cause
-            self._record(call, f"attempt: {result.outcome.value}", elapsed_ns)
+            self._record(call, f"attempt: {result.outcome.value}", elapsed_ns, level="debug")
             self._attempt_over(call, result, final=False)
 
     async def _decision(self, call: Call) -> Order | CallerLeft:
@@ -351,9 +351,9 @@
             case CallerLeft():
                 self._record(call, "given up")
 
-    def _record(self, call: Call, what: str, elapsed_ns: int = 0) -> None:
+    def _record(self, call: Call, what: str, elapsed_ns: int = 0, level: str = "info") -> None:
         self.log(
-            "info", "call", what, call=call.offer.wire_id, **{"class": call.offer.class_name},
+            level, "call", what, call=call.offer.wire_id, **{"class": call.offer.class_name},
             to=call.offer.destination, switch=self.names.get(call.exchange_id, ""), attempts=call.attempts,
             cause=call.last_cause.value if call.last_cause else "", ms=elapsed_ns // 1_000_000,
         )  # fmt: skip
--- a/tansyspur/net/sip.py
+++ b/tansyspur/net/sip.py
@@ -7,11 +7,12 @@
 from dataclasses import dataclass
 
 from tansyspur import interface as face
-from tansyspur.core.ports import Ended, SetUpRequest, Stood, SwitchSignal
+from tansyspur.core.ports import NORMAL_CLEARING, Ended, SetUpRequest, Stood, SwitchSignal
 from tansyspur.net.framing import LONGEST, Chunks, FramingError
 from tansyspur.net.link import Link
 from tansyspur.translate import parse_report
 
+INVITE_CSEQ = 1
 MOST_CONNECTIONS = 4
 SILENT_S = 1.0  # a set-up unanswered for so long, and nothing else heard: the link may be cut
 FIRST_REDIAL_S, LONGEST_REDIAL_S = 0.1, 2.0
@@ -44,10 +45,6 @@
     def call_id(self) -> str:
         return self.headers.get("call-id", "")
 
-    def cseq(self) -> tuple[int, str]:
-        number, _, method = self.headers.get("cseq", "").partition(" ")
-        return (int(number) if number.isascii() and number.isdigit() else -1), method.strip()
-
 
 def parse(chunks: Chunks) -> Message | None:
     """The next whole message; None if it has not come."""
@@ -112,7 +109,7 @@
         tell: Callable[[SwitchSignal], None],
     ) -> None:
         self.switch, self.order, self.may_send, self._tell = switch, order, may_send, tell
-        self.call_id, self.cseq = order.offer.wire_id, order.attempt + 1
+        self.call_id = order.offer.wire_id
         self.link: Link | None = None  # that of its set-up
         self.sent_at = 0.0
         self.stands = self.over = False
@@ -138,7 +135,7 @@
         self.link, self.sent_at = link, self.switch.loop.time()
         body = offer.description.encode("utf-8", "surrogateescape")
         headers = (f"X-Service: {offer.class_name}", f"X-Setup-Ms: {wait_ms}")
-        link.write(request("INVITE", offer.number, self.call_id, self.cseq, *headers, body=body))
+        link.write(request("INVITE", offer.number, self.call_id, INVITE_CSEQ, *headers, body=body))
 
     def no_route(self) -> None:
         self.switch.forget(self)
@@ -156,13 +153,13 @@
             self.switch.log("warning", "sip", "set-up given up in a stalled buffer", switch=self.switch.name)
             self.link.abort()
         elif self.link:
-            self.link.write(request("CANCEL", self.order.offer.number, self.call_id, self.cseq))
+            self.link.write(request("CANCEL", self.order.offer.number, self.call_id, INVITE_CSEQ))
 
     def release(self, cause: int) -> None:
         if not self.over:
             self.over = True
             self.switch.forget(self)
-            self.switch.bye(self.call_id, self.cseq + 1, cause, self.link)
+            self.switch.bye(self.call_id, cause, self.link)
 
 
 class SipSwitch:
@@ -335,9 +332,9 @@
         if leg in self.waiting:
             self.waiting.remove(leg)
 
-    def bye(self, call_id: str, cseq: int, cause: int, link: Link | None) -> None:
+    def bye(self, call_id: str, cause: int, link: Link | None) -> None:
         """Release a call that stands, on the connection of its set-up or else on any."""
-        message = request("BYE", call_id, call_id, cseq, f"Reason: Q.850;cause={cause}")
+        message = request("BYE", call_id, call_id, INVITE_CSEQ + 1, f"Reason: Q.850;cause={cause}")
         if link is None or link.closed or link.unsent:
             link = self._usable() or next((one for one in self.links if not one.closed), None)
         if link:
@@ -368,7 +365,7 @@
         status_text = message.start[8:11]
         if not status_text.isdigit():
             return self.log("warning", "sip", "unreadable status", switch=self.name)
-        status, (cseq, method) = int(status_text), message.cseq()
+        status, method = int(status_text), message.headers.get("cseq", "").rpartition(" ")[2]
         if status < 200:
             return
         if method == "OPTIONS":
@@ -376,12 +373,14 @@
             return self._probed(message.call_id, outcome, parse_group(message.headers.get("x-group", "")))
         if method != "INVITE":
             return
-        link.write(request("ACK", message.call_id, message.call_id, max(cseq, 1)))
+        link.write(request("ACK", message.call_id, message.call_id, INVITE_CSEQ))
         leg = self.legs.get(message.call_id)
-        if leg is None or leg.link is None or cseq != leg.cseq:
+        # Guards against taking the answer to a second attempt for a late one: the switches match by Call-ID
+        # and method, and answer every set-up with the number 1, so the number tells nothing.
+        if leg is None or leg.link is not link:
             if status < 300:
                 # Guards against an answer that lost the race with its CANCEL: it would stand for nobody.
-                self.bye(message.call_id, max(cseq, 1) + 1, 16, link)
+                self.bye(message.call_id, NORMAL_CLEARING, link)
             return
         if leg.stands:
             return
