Tests that start the program; resend a release whose connection closed under it

The new test of releases over any connection failed: a release written in the moment in which the caller closed was lost. Checked with the program's log: it had been written to the old connection before its end was read. Wrong: jsonlines.py, send_anywhere, which took a write for a delivery. Releases not acknowledged are now sent again on another connection when theirs ends within a second.

--- a/tansyspur/net/jsonlines.py
+++ b/tansyspur/net/jsonlines.py
@@ -15,7 +15,8 @@
 INVALID_ELEMENT = 100  # Q.850: a set-up that cannot be understood
 OWED_S = 8.0  # a release that finds no connection is of no use after this
 MOST_OWED = 5_000
-SILENT_TYPES = ("progress", "released", "answer", "state", "pong")
+CROSSING_S = 1.0  # a release on a connection that ends so soon after may not have arrived
+SILENT_TYPES = ("progress", "answer", "state", "pong")
 TOKEN = re.compile(r"[!-~]{1,128}")
 WORDS = re.compile(r"[ -~]{1,128}")
 
@@ -99,7 +100,7 @@
 
     def release(self, cause: int) -> None:
         if self.front.legs.pop(self.wire_id, None) is self:
-            self.front.send_anywhere(self.link, line("release", self.wire_id, cause=cause))
+            self.front.release_anywhere(self.wire_id, self.link, line("release", self.wire_id, cause=cause))
 
 
 def line(kind: str, wire_id: str, fields: dict[str, str] | None = None, **more: Any) -> bytes:
@@ -115,6 +116,7 @@
         self.legs: dict[str, JsonLeg] = {}
         self.links: set[Link] = set()
         self.owed: deque[tuple[float, bytes]] = deque(maxlen=MOST_OWED)
+        self.unheard: dict[str, tuple[float, Link, bytes]] = {}  # releases written of late, by id
         self.server: asyncio.Server | None = None
 
     async def listen(self, host: str, port: int) -> None:
@@ -128,14 +130,18 @@
         for link in list(self.links):
             link.writer.close()
 
-    def send_anywhere(self, link: Link | None, message: bytes) -> None:
+    def release_anywhere(self, wire_id: str, link: Link, message: bytes) -> None:
         """On this connection if it lives, else on any, else on the next one."""
-        if link is None or link.closed or link.unsent:
+        now = link.loop.time()
+        while self.unheard and next(iter(self.unheard.values()))[0] < now - CROSSING_S:
+            del self.unheard[next(iter(self.unheard))]
+        if link.closed or link.unsent:
             link = next((one for one in self.links if not one.closed and not one.unsent), None)
         if link:
             link.write(message)
+            self.unheard[wire_id] = (now, link, message)
         else:
-            self.owed.append((asyncio.get_running_loop().time(), message))
+            self.owed.append((now, message))
 
     async def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if len(self.links) >= self.most_links and not self._make_room():
@@ -165,6 +171,11 @@
             self.links.discard(link)
             for leg in [leg for leg in self.legs.values() if leg.link is link and not leg.stands]:
                 self._left(leg, NORMAL_CLEARING)
+            # Guards against a release that was written as the caller closed: it goes out once more.
+            for wire_id, (at, over, message) in list(self.unheard.items()):
+                if over is link and link.loop.time() - at < CROSSING_S:
+                    del self.unheard[wire_id]
+                    self.release_anywhere(wire_id, link, message)
 
     def _make_room(self) -> bool:
         busy = {id(leg.link) for leg in self.legs.values() if not leg.stands}
@@ -190,6 +201,8 @@
             self._release(link, row)
         elif kind == "ping":
             link.write(line("pong", wire_id, cause=1 if self.ready() else 0))
+        elif kind == "released":
+            self.unheard.pop(wire_id, None)
         elif kind not in SILENT_TYPES:
             self.log("warning", "front", "a message of unknown type was dropped", type=str(kind)[:32])
 
--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,333 @@
+"""The program as a process on sockets, with stand-ins for all it talks to. No test needs the bench."""
+
+import asyncio
+import functools
+import json
+import signal
+import socket
+import subprocess
+import sys
+
+import pytest
+
+from tests.world import LONG, ROOT, Switch, World, settings
+
+
+def program(test):
+    """Runs an async test; the plain form keeps the project free of a plugin."""
+
+    @functools.wraps(test)
+    def run(*given, **named):
+        asyncio.run(test(*given, **named))
+
+    return run
+
+
+@program
+async def test_a_call_is_answered_with_the_switchs_description_and_released_once():
+    switch = Switch("s-1", 1)
+    async with World(switch) as world:
+        caller = await world.caller()
+        call = caller.set_up(1, sdp="o=caller\r\nc=IN IP4 10.4.7.9\r\n")
+        _, _, headers, body = await switch.next("INVITE", call)
+        assert headers["start"] == f"INVITE sip:{call}@net SIP/2.0" and headers["x-service"] == "lookup"
+        assert body == b"o=caller\r\nc=IN IP4 10.4.7.9\r\n" and 0 < int(headers["x-setup-ms"]) <= 4000
+        answer = await caller.next(call)
+        assert answer["type"] == "answer" and answer["sdp"] == "from s-1 \r\nv=0 é\r\n"
+        await switch.next("ACK", call)
+        switch.bye(call)
+        assert await caller.next(call) == {"type": "release", "id": call, "fields": {}, "cause": 16}
+        switch.bye(call)  # a switch tells its release again on its next connection
+        assert await caller.silent()
+
+
+@pytest.mark.parametrize(
+    "plan, refused",
+    [
+        (["503 via_said_no"], True),
+        (["503 far_cpu_full"], True),
+        (["503 cpu_full"], True),
+        (["486 number_busy"], True),
+        (["500"], True),
+        (["480 cpu_full"], True),
+        (["504"], True),
+        (["reset"], True),
+        (["999"], True),
+    ],
+)
+@program
+async def test_each_refusal_gives_one_final_answer_with_a_time_to_come_back(plan, refused):
+    switch = Switch("s-1", 1, plan=plan)
+    async with World(switch) as world:
+        caller = await world.caller()
+        call = caller.set_up(1, left=2500)
+        answer = await caller.next(call)
+        assert answer["type"] == "release" and (answer["cause"] in (34, 42, 102)) is refused
+        assert await caller.silent()
+
+
+@program
+async def test_a_second_attempt_is_heard_though_the_switch_counts_from_one():
+    # Guards sip.py against matching answers by the number in CSeq: the switches always say 1.
+    switch = Switch("s-1", 1, plan=["480 all_trunks_busy", "answer"])
+    async with World(switch) as world:
+        caller = await world.caller()
+        call = caller.set_up(1)
+        assert (await caller.next(call))["type"] == "answer"
+        assert switch.count("INVITE") == 2
+
+
+@program
+async def test_a_blocked_call_takes_the_tandem_and_a_transit_call_none():
+    full, tandem = Switch("s-1", 1, free=0), Switch("s-2", 2)
+    async with World(full, tandem) as world:
+        caller = await world.caller()
+        call = caller.set_up(1)
+        assert (await caller.next(call))["sdp"].startswith("from s-2")
+        transit = caller.set_up(1, extras=";transit:1")
+        assert (await caller.next(transit))["type"] == "release"
+        assert full.count("INVITE") == 0 and tandem.count("INVITE") == 1
+
+
+@program
+async def test_an_answer_that_loses_to_the_callers_giving_up_is_released_at_the_switch():
+    switch = Switch("s-1", 1, plan=["silent"])
+    async with World(switch) as world:
+        caller = await world.caller()
+        call = caller.set_up(1)
+        await switch.next("INVITE", call)
+        caller.say("release", call, cause=16)
+        await switch.next("CANCEL", call)
+        switch.act("answer", call)
+        await switch.next("BYE", call)
+        # A caller that closes its connection gives up as well.
+        call = caller.set_up(1)
+        await switch.next("INVITE", call)
+        caller.close()
+        await switch.next("CANCEL", call)
+
+
+@program
+async def test_at_the_deadline_the_attempt_is_given_up_and_the_answer_given():
+    switch = Switch("s-1", 1, plan=["silent"])
+    async with World(switch) as world:
+        caller = await world.caller()
+        call = caller.set_up(1, left=700)
+        answer = await caller.next(call)
+        assert answer["type"] == "release"
+        await switch.next("CANCEL", call)
+        assert await caller.silent()
+
+
+@program
+async def test_a_standing_call_may_end_over_any_connection():
+    switch = Switch("s-1", 1)
+    async with World(switch) as world:
+        first, second = await world.caller(), await world.caller()
+        calls = [first.set_up(1) for _ in range(3)]
+        for call in calls:
+            await first.next(call, "answer")
+        second.say("release", calls[0], cause=31)
+        assert "cause=31" in (await switch.next("BYE", calls[0]))[2]["reason"]
+        first.close()
+        switch.bye(calls[1], cause=41)
+        assert (await second.next(calls[1], "release"))["cause"] == 41
+        second.close()
+        await asyncio.sleep(0.2)
+        switch.bye(calls[2])  # no connection is left: told on the next that comes
+        await asyncio.sleep(0.2)
+        assert (await (await world.caller()).next(calls[2]))["type"] == "release"
+
+
+@program
+async def test_nothing_new_goes_to_a_switch_that_drains_and_its_address_may_be_taken_over():
+    old = Switch("s-old", 1, plan=["silent"])
+    async with World(old) as world:
+        caller = await world.caller()
+        held = caller.set_up(1, left=5000)
+        await old.next("INVITE", held)
+        world.channel.event(old.entry("draining"))
+        await world.channel.resumed.get()
+        await asyncio.sleep(0.2)
+        assert (await caller.next(caller.set_up(1)))["type"] == "release"
+        assert old.count("INVITE") == 1
+        old.act("answer", held)  # what was out before the drain goes on
+        assert (await caller.next(held))["type"] == "answer"
+        # Guards against keying by address: the newcomer has the name, the old one's calls are over.
+        old.server.close()
+        for writer in old.writers:
+            writer.transport.abort()
+        new = await Switch("s-new", 1).start(old.port)
+        world.channel.event(old.entry("removed"), new.entry())
+        assert (await caller.next(held))["type"] == "release"
+        async with asyncio.timeout(LONG):
+            while (await caller.next(call := caller.set_up(1)))["type"] != "answer":
+                await asyncio.sleep(0.05)
+        await new.next("INVITE", call)
+        new.server.close()
+
+
+@program
+async def test_the_channel_is_resumed_from_the_last_event():
+    switch, later = Switch("s-1", 1), await Switch("s-2", 2).start()
+    async with World(switch) as world:
+        assert await world.channel.resumed.get() == 1
+        world.channel.writers.pop().transport.abort()
+        world.channel.event(later.entry())
+        assert await world.channel.resumed.get() == 1
+        caller = await world.caller()
+        async with asyncio.timeout(LONG):
+            while (await caller.next(caller.set_up(2)))["type"] != "answer":
+                await asyncio.sleep(0.05)
+        world.channel.writers.pop().write(b"not json\n9\n")  # and a number ahead of what came
+        assert await world.channel.resumed.get() == 2
+        later.server.close()
+
+
+@pytest.mark.parametrize("chop", [1, 7])
+@program
+async def test_messages_split_or_joined_anywhere_are_whole(chop):
+    switch = Switch("s-1", 1)
+    switch.chop = chop
+    async with World(switch) as world:
+        caller = await world.caller()
+        sent = []
+        write, caller.writer.write = caller.writer.write, sent.append
+        calls = [caller.set_up(1) for _ in range(3)]
+        joined = b"".join(sent)
+        for at in range(0, len(joined), 40 * chop):
+            write(joined[at : at + 40 * chop])
+            await caller.writer.drain()
+            await asyncio.sleep(0)
+        assert {(await caller.next())["id"] for _ in calls} == set(calls)
+
+
+BAD_LINES = [
+    b"\n", b"{\n", b"[]\n", b"5\n", b"\xff\xfe\n", b"[" * 5000 + b"\n", b'{"type":"setup","id":7}\n',
+    b'{"type":"nonsense","id":"00000000000000aa"}\n', b'{"type":"setup","id":"a b","fields":{}}\n',
+    b'{"type":"setup","id":"00000000000000ab","fields":{"class":"x\\r\\nEvil: 1","left":"1","key":"1"}}\n',
+    b'{"type":"setup","id":"00000000000000ac","fields":{"class":"lookup","left":"NaN","key":"1"}}\n',
+    b'{"type":"setup","id":"00000000000000ad","fields":[]}\n', b"x" * 20_000 + b"\n", b"x" * 20_000,
+    b'{"type":"release","id":"00000000000000ae","cause":"?"}\n',
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("bad", BAD_LINES, ids=range(len(BAD_LINES)))
+@program
+async def test_what_callers_say_wrongly_costs_their_message_at_most_their_connection(bad):
+    async with World(Switch("s-1", 1)) as world:
+        wrong, right = await world.caller(), await world.caller()
+        wrong.writer.write(bad)
+        await wrong.writer.drain()
+        call = right.set_up(1, unknown="1")
+        assert (await right.next(call))["type"] == "answer"
+
+
+BAD_SIP = [
+    b"SIP/2.0 200 OK\r\nCall-ID: x\r\nCSeq: 1 INVITE\r\n\r\n",
+    b"SIP/2.0 200 OK\r\nContent-Length: -4\r\n\r\n", b"SIP/2.0 200 OK\r\nContent-Length: 99999\r\n\r\n",
+    b"\r\n\r\n", b"SIP/2.0 abc\r\nContent-Length: 0\r\n\r\n", b"x" * 20_000,
+    b"NOTIFY sip:x SIP/2.0\r\nX-Group: x0:;:;size:-1;free:1e99\r\nContent-Length: 0\r\n\r\n",
+    b"BYE sip:x SIP/2.0\r\nContent-Length: 0\r\n\r\n", b"\xff\xff: \xff\r\nContent-Length: 0\r\n\r\n",
+    b"SIP/2.0 200 OK\r\nCall-ID: unknown\r\nCSeq: 1 INVITE\r\nContent-Length: 0\r\n\r\n",
+]  # fmt: skip
+
+
+@pytest.mark.parametrize("bad", BAD_SIP, ids=range(len(BAD_SIP)))
+@program
+async def test_what_switches_say_wrongly_costs_their_connection_at_most(bad):
+    switch = Switch("s-1", 1)
+    async with World(switch) as world:
+        caller = await world.caller()
+        standing = caller.set_up(1)
+        await caller.next(standing, "answer")
+        switch.writers[0].write(bad)
+        async with asyncio.timeout(LONG):
+            while (await caller.next(caller.set_up(1)))["type"] != "answer":
+                await asyncio.sleep(0.05)
+        switch.bye(standing, writer=switch.writers[-1])
+        await caller.next(standing, "release")
+
+
+@program
+async def test_a_switch_that_is_not_there_is_no_route_and_found_again_later():
+    switch = Switch("s-1", 1)
+    async with World(switch) as world:
+        caller = await world.caller()
+        standing = caller.set_up(1)
+        await caller.next(standing, "answer")
+        switch.server.close()
+        for writer in switch.writers:
+            writer.transport.abort()
+        assert (await caller.next(standing))["cause"] == 41  # a dying process cuts its calls
+        assert (await caller.next(caller.set_up(1)))["type"] == "release"
+        again = await Switch("s-1", 1).start(switch.port)
+        async with asyncio.timeout(LONG):
+            while (await caller.next(caller.set_up(1)))["type"] != "answer":
+                await asyncio.sleep(0.05)
+        again.server.close()
+
+
+@program
+async def test_peers_get_reports_and_strangers_are_not_heard():
+    async with World(Switch("s-1", 1)) as world:
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(LONG):
+            data = await loop.sock_recv(world.peer, 2048)
+        assert 9 < len(data) <= 256
+        for datagram in (b"", b"\x01", data, b"x" * 300, bytes(256)):
+            world.peer.sendto(datagram, ("127.0.0.1", world.peer_port))
+        with socket.socket(type=socket.SOCK_DGRAM) as stranger:
+            stranger.sendto(data, ("127.0.0.1", world.peer_port))
+        await world.logged("stranger")
+        caller = await world.caller()
+        assert (await caller.next(caller.set_up(1)))["type"] == "answer"
+
+
+@program
+async def test_sigterm_takes_what_still_comes_and_finishes_it():
+    switch = Switch("s-1", 1)
+    async with World(switch) as world:
+        caller = await world.caller()
+        standing = caller.set_up(1)
+        await caller.next(standing, "answer")
+        world.process.send_signal(signal.SIGTERM)
+        await world.logged("finishing")
+        late = await world.caller()  # connections keep coming for a while
+        call = late.set_up(1)
+        assert (await late.next(call))["type"] == "answer"
+        switch.bye(standing)
+        assert (await caller.next(standing))["type"] == "release"
+        switch.bye(call)
+        assert (await late.next(call))["type"] == "release"
+        async with asyncio.timeout(LONG):
+            assert await world.process.wait() == 0
+
+
+@pytest.mark.parametrize(
+    "changed, operator, key",
+    [
+        ({"name": ""}, None, "ROUTER_NAME"),
+        ({"listen": "nowhere"}, None, "ROUTER_LISTEN"),
+        ({"settings": None}, None, "settings"),
+        ({"settings": {"classes": []}}, None, "settings"),
+        ({"seed": "xyz"}, None, "seed"),
+        ({"peers": ["x"]}, None, "peers"),
+        ({"limits": {"sockets": "many"}}, None, "limits.sockets"),
+        ({}, "[syslog]\nlevel = 'loud'", "syslog.level"),
+        ({}, "[syslog]\nudp = 5", "syslog.udp"),
+        ({}, "= nonsense", "operator"),
+    ],
+)
+def test_a_faulty_key_is_named(tmp_path, changed, operator, key):
+    document = {"name": "n0", "listen": "127.0.0.1:0", "settings": settings(), **changed}
+    config, toml = tmp_path / "config.json", tmp_path / "operator.toml"
+    config.write_text(json.dumps(document))
+    arguments = [sys.executable, "-m", "tansyspur"]
+    if operator is not None:
+        toml.write_text(operator)
+        arguments += ["--operator", str(toml)]
+    run = subprocess.run(
+        arguments, cwd=ROOT, env={"ROUTER_CONFIG": str(config)}, capture_output=True, text=True, timeout=LONG
+    )
+    assert run.returncode == 2 and key in run.stderr and run.stderr.count("\n") == 1
