--- a/tansyspur/net/jsonlines.py
+++ b/tansyspur/net/jsonlines.py
@@ -86,6 +86,8 @@
             return False
         self.stands = True
         self.link.write(line("answer", self.wire_id, sdp=description))
+        if self.link.closed:  # the write found it stalled: nobody has the answer, and nothing is owed
+            self.front.legs.pop(self.wire_id, None)
         return not self.link.closed
 
     def refuse(self, cause: int, wait_ms: int) -> None:
