--- a/tests/iax2_peer.py
+++ b/tests/iax2_peer.py
@@ -123,6 +123,7 @@
         self.numbers, self.seen = itertools.count(1), set()
         self.calls, self.by_remote, self.incoming, self.news = {}, {}, asyncio.Queue(), []
         self.replies = asyncio.Queue()  # frames that belong to no call
+        self.registered = asyncio.Queue()
 
     async def start(self):
         self.loop = asyncio.get_running_loop()
@@ -163,6 +164,10 @@
             call.remote = source
             self.news.append((self.loop.time(), call, unpack(data[12:])))
             self.loop.call_soon(self.take, call)
+        if call is None and (kind, sub) == (IAX, REGREQ):
+            call = self.by_remote[source] = Call(self, addr)
+            call.remote = source
+            self.loop.create_task(self.registrar(call))
         if call is None:
             if (kind, sub) == (IAX, POKE):
                 self.raw(full(1, source, stamp, 0, 1, IAX, PONG), addr)
@@ -191,6 +196,15 @@
         assert elements[MD5].decode() == hashlib.md5(b"12345" + self.secret.encode()).hexdigest()
         self.take(call)
 
+    async def registrar(self, call):
+        """Challenges a registration; `registered` gets the username once it is proven."""
+        _, _, elements = await call.next((IAX, REGREQ))
+        call.send(IAX, REGAUTH, e14=b"\0\2", e15=b"678", e6=elements[USER])
+        _, _, elements = await call.next((IAX, REGREQ))
+        proven = elements[MD5].decode() == hashlib.md5(b"678" + self.secret.encode()).hexdigest()
+        call.send(IAX, REGACK if proven else REGREJ, e19=b"\0\1")
+        self.registered.put_nowait((elements[USER], proven))
+
     def call(self, address, number, user="", secret=""):
         call = Call(self, address)
         call.secret = secret
--- a/tests/test_iax2.py
+++ b/tests/test_iax2.py
@@ -55,10 +55,10 @@
 class Iax2World(World):
     """The program with IAX2 on; `far` is the stand-in that takes the place of switch s-1."""
 
-    def __init__(self, *switches, far=None, caller=None, circuits=0, more="", deadline=5000):
+    def __init__(self, *switches, far=None, caller=None, circuits=0, more="", switch="", deadline=5000):
         super().__init__(*switches)
         self.far, self.shed = far, caller or Iax2Peer()
-        self.circuits, self.more, self.deadline = circuits, more, deadline
+        self.circuits, self.more, self.deadline, self.switch = circuits, more, deadline, switch
 
     async def __aenter__(self):
         for peer in (self.far, self.shed):
@@ -66,12 +66,14 @@
                 await peer.start()
         self.iax2 = ("127.0.0.1", free_port(socket.SOCK_DGRAM))
         self.operator = operator(self.iax2[1], self.far, self.circuits, self.more, self.deadline)
+        self.operator += self.switch
         return await super().__aenter__()
 
     async def __aexit__(self, *error):
         for peer in (self.far, self.shed):
             for call in [*peer.calls.values()] if peer else ():
-                if call.finals[-1:] and call.ended_at is None and call.finals[-1][:2] == ANSWERED:
+                stands = ANSWERED in call.sent or any(final[:2] == ANSWERED for final in call.finals)
+                if stands and call.ended_at is None:  # what stands would be waited for
                     call.hang_up()
         await super().__aexit__(*error)
         for peer in (self.far, self.shed):
@@ -188,6 +190,18 @@
         assert (await wrong.next((iax.IAX, iax.REGACK), (iax.IAX, iax.REGREJ)))[1] == iax.REGREJ
 
 
+@program
+async def test_the_gatekeeper_keeps_its_own_registration_and_pokes_its_switch():
+    far = Iax2Peer(secret=SECRET)
+    more = 'username = "core"\n[[iax2.register]]\npeer = "far"\n'
+    async with Iax2World(Switch("s-1", 1), far=far, more=more, switch="qualify_s = 0.2") as world:
+        async with asyncio.timeout(LONG):
+            for _ in range(2):  # and again before the granted second is over
+                assert await far.registered.get() == (b"core", True)
+        caller = await world.caller()
+        await caller.next(caller.set_up(1), "answer")  # the pokes were answered
+
+
 @program
 async def test_a_repeated_new_is_the_same_call_even_after_its_end():
     # Guards the transport against a datagram that comes twice: no retransmission is a second attempt.
