--- a/tansyspur/net/sip.py
+++ b/tansyspur/net/sip.py
@@ -238,6 +238,8 @@
     def retire(self) -> None:
         """The switch is gone: the calls that stand there are cut, and whatever is out is given up."""
         self.retired = True
+        for leg in [leg for leg in self.legs.values() if leg.stands]:
+            self.bye(leg.call_id, NORMAL_CLEARING, leg.link)  # should it live on, it must not keep them
         self._cut_all()
         self.close()
 
@@ -289,9 +291,8 @@
         """One more connection; whether it came up. Those waiting are served, or refused with the dial."""
         if len(self.links) >= MOST_CONNECTIONS:
             min(self.links, key=lambda link: link.heard_at).abort()
-            await asyncio.sleep(
-                ABORT_S
-            )  # guards against a fifth: the old one is closed in the loop's next turn
+            # Guards against a fifth connection: the old one is closed in the loop's next turn only.
+            await asyncio.sleep(ABORT_S)
         try:
             async with asyncio.timeout(self.dial_timeout_s):
                 reader, writer = await asyncio.open_connection(self.host, self.port)
