--- a/tansyspur/__main__.py
+++ b/tansyspur/__main__.py
@@ -32,6 +32,9 @@
 
 async def serve(config: configuration.Config, log: Syslog) -> int:
     loop = asyncio.get_running_loop()
+    loop.set_exception_handler(
+        lambda _, context: log("error", "loop", str(context.get("exception") or context["message"]))
+    )
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
