--- a/tansyspur/__main__.py
+++ b/tansyspur/__main__.py
@@ -30,7 +30,7 @@
 READY_S = 1.5  # a switch that cannot be dialled must not keep the gatekeeper from its test for longer
 
 
-async def serve(config: configuration.Config, log: Syslog) -> int:
+async def serve(config: configuration.Config, log: Syslog, operator: str | None) -> int:
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(
         lambda _, context: log("error", "loop", str(context.get("exception") or context["message"]))
@@ -68,10 +68,28 @@
     if config.peer_listen and config.settings.may_message:
         await peers.open(config.peer_listen)
         gatekeeper.messenger = peers
-    channel = Channel(config.channel or "", gatekeeper.list_changed, log)
+    channel = Channel(config.channel, gatekeeper.list_changed, gatekeeper.spawn, log)
     channel.known(dict(config.known))
-    if config.channel:
-        gatekeeper.spawn(channel.run(), "command channel")
+    channel.start()
+
+    def reload() -> None:
+        """Take the new file, or keep to the old one; no call notices."""
+        try:
+            fresh = configuration.load(operator=operator)
+        except configuration.ConfigError as error:
+            return log("error", "reload", f"the old configuration stays: {error}")
+        later = [key for key in configuration.AT_START if getattr(fresh, key) != getattr(config, key)]
+        log(
+            "notice",
+            "reload",
+            "configuration read",
+            channel=fresh.channel,
+            **({"at_next_start": ",".join(later)} if later else {}),
+        )
+        log.set_level(fresh.syslog.level)
+        channel.move(fresh.channel)
+
+    loop.add_signal_handler(signal.SIGHUP, reload)
     started = loop.time()
 
     def ready() -> bool:
@@ -124,7 +142,7 @@
         return 2
     log = Syslog(config.name, config.syslog.level, config.syslog.export)
     try:
-        return asyncio.run(serve(config, log))
+        return asyncio.run(serve(config, log, arguments.operator))
     except OSError as error:
         log("error", "start", f"cannot run: {error}")
         return 1
--- a/tansyspur/config.py
+++ b/tansyspur/config.py
@@ -16,6 +16,10 @@
 RELEASE_MARGIN_NS = 70_000_000  # added to the rule's wait: a limit that is 50 ms longer, and a send's way
 
 
+# What a reload leaves as it is: sockets, calls and the module are bound to these from the start.
+AT_START = ("name", "listen", "settings", "limits", "peer_listen", "peers", "peers_all", "iax2")
+
+
 class ConfigError(Exception):
     """A configuration that cannot be used; the text names the key."""
 
@@ -124,8 +128,11 @@
     if settings.release_ns:
         settings = replace(settings, release_ns=settings.release_ns + RELEASE_MARGIN_NS)
     peers = typed(found, "peers", list, [])
-    for entry in [*peers, *(found[key] for key in ("peer_listen", "peers_all", "channel") if found.get(key))]:
-        address(entry, "peers, peer_listen, peers_all, channel")
+    for entry in peers:
+        address(entry, "peers")
+    for key in ("peer_listen", "peers_all", "channel"):
+        if found.get(key):
+            address(found[key], key)
     seed = found.get("seed", 0)
     try:
         seed = int(seed, 16) if isinstance(seed, str) else int(seed)
--- a/tansyspur/net/channel.py
+++ b/tansyspur/net/channel.py
@@ -2,15 +2,17 @@
 
 import asyncio
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from tansyspur import interface as face
 from tansyspur.core.ports import Listing
 from tansyspur.net.framing import Chunks
 from tansyspur.net.link import Link
+from tansyspur.net.peers import split
 
-SILENT_S = 3.5  # a cursor comes each second; without one for so long the link is taken for cut
+SILENT_S = 2.5  # a cursor comes each second; what is told during a longer silence must be known 4 s after it
+LONGEST_EVENT = 256 * 1024  # a whole list is one event, and may be longer than other messages
 DIAL_S = 1.0
 REDIAL_S = 0.25
 STATES = {
@@ -20,6 +22,7 @@
 }
 
 Log = Callable[..., None]
+Spawn = Callable[[Coroutine[Any, Any, None], str], asyncio.Task[None]]
 OnList = Callable[[face.ListKind, list[Listing]], None]
 
 
@@ -44,11 +47,25 @@
 
 
 class Channel:
-    def __init__(self, address: str, on_list: OnList, log: Log) -> None:
-        self.host, _, port = address.rpartition(":")
-        self.port = int(port or 0)
-        self.on_list, self.log = on_list, log
+    def __init__(self, address: str | None, on_list: OnList, spawn: Spawn, log: Log) -> None:
+        self.address = address
+        self.on_list, self.spawn, self.log = on_list, spawn, log
         self.cursor = 0
+        self.gap_at = -1  # the cursor at which an event was missing the last time
+        self.task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        if self.address:
+            self.task = self.spawn(self.run(self.address), "command channel")
+
+    def move(self, address: str | None) -> None:
+        """The channel is elsewhere from now on; the new one is asked for what comes after our cursor."""
+        if address == self.address:
+            return
+        self.address = address
+        if self.task:
+            self.task.cancel()  # also a dial or a pause; nothing is awaited between an event and its cursor
+        self.start()
 
     def known(self, known: dict[str, Any]) -> None:
         """What the configuration already holds."""
@@ -61,6 +78,8 @@
         cursor = event.get("cursor") if isinstance(event, dict) else None
         if not isinstance(cursor, int) or cursor <= self.cursor:
             return  # told again after a reconnect
+        if self.task:
+            self._no_gap(cursor - 1)
         self.cursor = cursor
         nodes = event.get("nodes")
         if not isinstance(nodes, dict):
@@ -82,20 +101,26 @@
             return self.log("warning", "channel", "a line that is not JSON was dropped")
         if isinstance(row, dict):
             self._event(row)
-        elif isinstance(row, int) and row > self.cursor:
-            # Guards against an event that was lost on the way: the cursor is ahead of what came.
+        elif isinstance(row, int):
+            self._no_gap(row)
+
+    def _no_gap(self, told: int) -> None:
+        """Guards against an event that was lost on the way: it is asked for again, once. A channel that has
+        none to tell must not be asked for ever."""
+        if told > self.cursor and self.gap_at != self.cursor:
+            self.gap_at = self.cursor
             raise ConnectionError(f"event {self.cursor + 1} is missing")
 
-    async def run(self) -> None:
+    async def run(self, address: str) -> None:
         """Connected for as long as it can be, and resumed from the last event known."""
         while True:
             try:
                 async with asyncio.timeout(DIAL_S):
-                    reader, writer = await asyncio.open_connection(self.host, self.port)
+                    reader, writer = await asyncio.open_connection(*split(address))
             except (TimeoutError, OSError):
                 await asyncio.sleep(REDIAL_S)
                 continue
-            link = Link(reader, writer)
+            link = Link(reader, writer, LONGEST_EVENT)
             link.write(b"resume %d\n" % self.cursor)
             await self._listen(link)
             await asyncio.sleep(REDIAL_S)
--- a/tansyspur/net/framing.py
+++ b/tansyspur/net/framing.py
@@ -10,7 +10,8 @@
 class Chunks:
     """Bytes read from one connection, with the unfinished rest of earlier ones."""
 
-    def __init__(self) -> None:
+    def __init__(self, longest: int = LONGEST) -> None:
+        self.longest = longest
         self.whole = b""  # what the view is the rest of
         self.view = memoryview(self.whole)
 
@@ -32,6 +33,6 @@
     def line(self) -> memoryview | None:
         """The next whole line without its end; None if it has not come."""
         end = self.find(b"\n")
-        if max(end, 0 if end >= 0 else len(self.view)) > LONGEST:
+        if max(end, 0 if end >= 0 else len(self.view)) > self.longest:
             raise FramingError("a line is too long")
         return self.take(end + 1)[:-1] if end >= 0 else None
--- a/tansyspur/net/link.py
+++ b/tansyspur/net/link.py
@@ -4,7 +4,7 @@
 import socket
 from collections.abc import Callable
 
-from tansyspur.net.framing import Chunks, FramingError
+from tansyspur.net.framing import LONGEST, Chunks, FramingError
 
 READ_SIZE = 64 * 1024
 SEND_BUFFER = 8 * 1024  # of the kernel: what a stalled peer can be owed
@@ -15,9 +15,11 @@
 class Link:
     """Messages in by on_data, which takes what it can from the chunks; write() never waits."""
 
-    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, longest: int = LONGEST
+    ) -> None:
         self.reader, self.writer = reader, writer
-        self.chunks = Chunks()
+        self.chunks = Chunks(longest)
         self.loop = asyncio.get_running_loop()
         self.closed = False
         self.heard_at = self.loop.time()
--- a/tansyspur/syslog.py
+++ b/tansyspur/syslog.py
@@ -36,7 +36,7 @@
         app: str = "tansyspur",
     ) -> None:
         self.head = f"{printable(host, 255)} {printable(app, 48)} {os.getpid()}"
-        self.threshold = SEVERITIES[threshold]
+        self.set_level(threshold)
         self.allowance, self.filled_at, self.dropped = BURST, time.monotonic(), 0
         self.told_at = 0.0
         self.export = export
@@ -46,6 +46,9 @@
             self.socket = socket.socket(family, socket.SOCK_DGRAM)
             self.socket.setblocking(False)
 
+    def set_level(self, threshold: str) -> None:
+        self.threshold = SEVERITIES[threshold]
+
     def __call__(self, level: str, msgid: str, text: str, /, **params: object) -> None:
         """Write one line, or count it as dropped."""
         severity = SEVERITIES[level]
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from tests.world import LONG, ROOT, Switch, World, settings
+from tests.world import LONG, ROOT, Channel, Switch, World, settings
 
 
 def program(test):
@@ -199,6 +199,52 @@
         assert await world.channel.resumed.get() == 2
 
 
+@program
+async def test_a_gap_in_the_events_is_asked_for_again_and_a_long_list_is_read():
+    switch = Switch("s-1", 1)
+    async with World(switch) as world:
+        later = await world.add(Switch("s-2", 2))
+        assert await world.channel.resumed.get() == 1
+        writer = world.channel.writers.pop()
+        many = [{**later.entry("removed"), "name": f"s-gone-{n}"} for n in range(400)]
+        world.channel.event(later.entry(), *many)
+        writer.write(json.dumps({"cursor": 3, "nodes": {"endpoints": []}}).encode() + b"\n")
+        assert await world.channel.resumed.get() == 1
+        caller = await world.caller()
+        async with asyncio.timeout(LONG):
+            while (await caller.next(caller.set_up(2)))["type"] != "answer":
+                await asyncio.sleep(0.05)
+
+
+@program
+async def test_a_reload_moves_the_channel_and_leaves_the_calls_alone():
+    # Guards against dying of SIGHUP, and against a faulty file that takes the running one's place.
+    switch, held = Switch("s-1", 1), Switch("s-2", 2, plan=["silent"])
+    async with World(switch, held) as world:
+        caller = await world.caller()
+        standing, out = caller.set_up(1), caller.set_up(2, left=9000)
+        await caller.next(standing, "answer")
+        await held.next("INVITE", out)
+        world.reload(channel="nowhere")
+        await world.logged("the old configuration stays: channel")
+        moved = Channel()
+        moved.events = [*world.channel.events]
+        await moved.start()
+        assert await world.channel.resumed.get() == 1
+        world.reload(channel=f"127.0.0.1:{moved.port}")
+        assert await moved.resumed.get() == 1  # the cursor goes with it
+        later = await world.add(Switch("s-3", 3))
+        moved.event(later.entry())
+        async with asyncio.timeout(LONG):
+            while (await caller.next(call := caller.set_up(3)))["type"] != "answer":
+                await asyncio.sleep(0.05)
+        assert world.channel.resumed.empty() and call in later.out
+        held.act("answer", out)
+        assert (await caller.next(out))["type"] == "answer"
+        switch.bye(standing)
+        assert (await caller.next(standing))["type"] == "release"
+
+
 @pytest.mark.parametrize("chop", [1, 7])
 @program
 async def test_messages_split_or_joined_anywhere_are_whole(chop):
--- a/tests/world.py
+++ b/tests/world.py
@@ -240,15 +240,15 @@
         self.peer_port = free_port(socket.SOCK_DGRAM)
         peer = f"127.0.0.1:{self.peer.getsockname()[1]}"
         self.folder = tempfile.TemporaryDirectory()
-        config = Path(self.folder.name, "config.json")
-        document = {
+        self.config = Path(self.folder.name, "config.json")
+        self.document = {
             "name": "n0", "listen": f"127.0.0.1:{self.port}", "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "peer_listen": f"127.0.0.1:{self.peer_port}", "peers": [f"127.0.0.1:{self.peer_port}", peer],
             "peers_all": peer, "channel": f"127.0.0.1:{self.channel.port}",
             "known": {"cursor": 1, "cmds": [self.channel.events[0]]}, "settings": self.settings,
         }  # fmt: skip
-        config.write_text(json.dumps(document))
+        self.config.write_text(json.dumps(self.document))
         arguments = ["-m", "tansyspur"]
         if self.operator is not None:
             path = Path(self.folder.name, "operator.toml")
@@ -256,12 +256,16 @@
             arguments += ["--operator", str(path)]
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, *arguments, cwd=ROOT, stderr=asyncio.subprocess.PIPE,
-            env={**os.environ, "ROUTER_NAME": "n0", "ROUTER_CONFIG": str(config)},
+            env={**os.environ, "ROUTER_NAME": "n0", "ROUTER_CONFIG": str(self.config)},
         )  # fmt: skip
         self.reading = asyncio.create_task(self.read_log())
         await self.ready()
         return self
 
+    def reload(self, **changed):
+        self.config.write_text(json.dumps(self.document | changed))
+        self.process.send_signal(signal.SIGHUP)
+
     async def add(self, switch, port=0):
         self.switches.append(switch)
         return await switch.start(port)
