Test: stamp a switch's new start after the set-up, not in its millisecond

The test of a restarted switch failed about once in five: the stamp is cut to the millisecond, and the set-up had left in that same one, so that it counted as sent to the new process.

--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -336,7 +336,8 @@
         caller = await world.caller()
         old = caller.set_up(1)
         await caller.next(old, "answer")
-        world.channel.event(switch.entry(since_ms=time.time_ns() // 1_000_000))
+        # Rounded up: the set-up may have left in the same millisecond.
+        world.channel.event(switch.entry(since_ms=time.time_ns() // 1_000_000 + 1))
         assert (await caller.next(old, "release"))["cause"] == 41
 
 
