--- a/tansyspur/config.py
+++ b/tansyspur/config.py
@@ -289,4 +289,5 @@
         whole(row, "exchange", None, where, 0, 1_000_000),
         class_name,
         whole(row, "deadline_ms", most_ms, where, 1, most_ms),
+        kinds[class_name].circuits,
     )
--- a/tansyspur/core/gatekeeper.py
+++ b/tansyspur/core/gatekeeper.py
@@ -73,6 +73,11 @@
 
     def offer(self, offer: Offer, caller: CallerLeg) -> Call | None:
         """A call is offered; None if it was refused unheard."""
+        wrong = guard.unusable(self.settings, offer)
+        if wrong:
+            self.log("warning", "guard", f"a set-up with an unusable {wrong}", call=offer.wire_id)
+            caller.fail(ports.INVALID_ELEMENT)
+            return None
         if len(self.calls) >= MOST_CALLS:
             self.log("warning", "overfull", "too many open calls", call=offer.wire_id)
             caller.refuse(ports.CONGESTION, self.settings.max_retry_advice_ns // 1_000_000)
@@ -197,6 +202,9 @@
 
     async def _set_up(self, call: Call) -> ports.SwitchLeg | None:
         """Offered, decision, attempt, answer; the leg if the call stands, None if all is answered."""
+        if not call.signals.empty():  # taken back in the same breath: the module need not know
+            self._record(call, "given up")
+            return None
         self.consult(self._offered(call))
         while True:
             order = await self._decision(call)
--- a/tansyspur/core/guard.py
+++ b/tansyspur/core/guard.py
@@ -1,4 +1,4 @@
-"""The last guard: the rules, once more, at the moment a set-up would be written.
+"""What may come in, and the last guard: the rules, once more, at the moment a set-up would be written.
 
 The module keeps the rules by itself; on sockets time passes between its decision and the write. Whatever the
 guard stops is logged, as it means that a decision was late or wrong.
@@ -10,6 +10,21 @@
 COLD_DELAY_NS = 100_000_000  # a set-up to a cold switch that is held up longer would join a later burst
 
 
+def unusable(settings: face.Settings, offer: Offer) -> str | None:
+    """What in an offer no switch could use; None if all may be used.
+
+    Guards against serving what a broken caller made up: a class of its own, or a time that has no end.
+    """
+    kind = next((kind for kind in settings.classes if kind.name == offer.class_name), None)
+    if kind is None:
+        return "class"
+    if not 0 < offer.left_ms <= kind.deadline_ns / 1e6:
+        return "time to wait"
+    if offer.circuits != kind.circuits:
+        return "width"
+    return None
+
+
 def objection(
     settings: face.Settings,
     offer: Offer,
--- a/tansyspur/iax2/front.py
+++ b/tansyspur/iax2/front.py
@@ -35,6 +35,7 @@
     exchange: int
     class_name: str
     deadline_ms: int
+    circuits: float = 1  # as the class takes
 
 
 class Iax2Front:
@@ -150,6 +151,7 @@
             left_ms=row.deadline_ms,
             destination=row.exchange,
             number=number,
+            circuits=row.circuits,
             description=describe(self.leg, self.wire_id, media_format),
         )
         self.call = front.gatekeeper.offer(offer, self)
--- a/tansyspur/net/channel.py
+++ b/tansyspur/net/channel.py
@@ -126,15 +126,18 @@
             await asyncio.sleep(REDIAL_S)
 
     async def _listen(self, link: Link) -> None:
-        def take(chunks: Chunks) -> None:
+        def take(chunks: Chunks) -> bool:
             watch.reschedule(link.loop.time() + SILENT_S)
+            taken = False
             while (text := chunks.line()) is not None:
                 self._line(text)
+                taken = True
+            return taken
 
         ended = "silent"
         try:
             async with asyncio.timeout(SILENT_S) as watch:
-                ended = await link.read_all(take)
+                ended = await link.read_all(take, SILENT_S, link.abort)
         except TimeoutError:
             pass
         except Exception as error:  # noqa: BLE001 - what cannot be read must cost a reconnect, no more
--- a/tansyspur/net/jsonlines.py
+++ b/tansyspur/net/jsonlines.py
@@ -3,21 +3,27 @@
 import asyncio
 import json
 import re
+import socket
 from collections import deque
 from collections.abc import Callable
 from typing import Any
 
 from tansyspur.core.gatekeeper import Call, Gatekeeper
-from tansyspur.core.ports import NORMAL_CLEARING, Offer
-from tansyspur.net.framing import Chunks
+from tansyspur.core.ports import INVALID_ELEMENT, NORMAL_CLEARING, TEMPORARY_FAILURE, Offer
+from tansyspur.net.framing import Chunks, FramingError
 from tansyspur.net.link import Link
 
-INVALID_ELEMENT = 100  # Q.850: a set-up that cannot be understood
+INVALID_REFERENCE = 81  # Q.850: a release of no call
+FIRST_S = 2.5  # a connection that has said nothing usable for so long is closed
+REST_S = 2.0  # so is one on which a begun message does not end
+YOUNG_S = 0.3  # a connection so new may still bring its first set-up
+MOST_OVER = 4096  # ids of calls that are over, as releases may cross
+ACCEPTED_AT_ONCE, BACKLOG = 16, 512
 OWED_S = 8.0  # a release that finds no connection is of no use after this
 MOST_OWED = 5_000
 CROSSING_S = 1.0  # a release on a connection that ends so soon after may not have arrived
-SILENT_TYPES = ("progress", "answer", "state", "pong")
 TOKEN = re.compile(r"[!-~]{1,128}")
+HEX = re.compile(r"[0-9A-Fa-f]{16}")
 WORDS = re.compile(r"[ -~]{1,128}")
 
 Log = Callable[..., None]
@@ -32,11 +38,18 @@
         figure = float(value)
     except (TypeError, ValueError):
         raise BadSetUp(name) from None
-    if not abs(figure) < 1e12:
+    if not abs(figure) < 1e12 or isinstance(value, bool):
         raise BadSetUp(name)
     return figure
 
 
+def _whole(value: Any, name: str) -> int:
+    figure = _figure(value, name)
+    if figure != int(figure):
+        raise BadSetUp(name)
+    return int(figure)
+
+
 def _word(value: Any, name: str, form: re.Pattern[str]) -> str:
     # Guards against line ends in a field, which would become SIP headers of the caller's making.
     if isinstance(value, int):
@@ -54,15 +67,15 @@
     for pair in str(fields.get("extras", "")).split(";"):
         name, _, value = pair.partition(":")
         extras[name.strip()] = value.strip()
-    via = int(_figure(extras.get("via", -1), "via"))
-    sdp = row.get("sdp", "")
+    via = _whole(extras.get("via", -1), "via")
+    sdp = row.get("sdp")
     if not isinstance(sdp, str):
         raise BadSetUp("sdp")
     return Offer(
         wire_id=row["id"],
         class_name=_word(fields.get("class"), "class", WORDS),
         left_ms=_figure(fields.get("left"), "left"),
-        destination=int(_figure(extras.get("dest"), "dest")),
+        destination=_whole(extras.get("dest"), "dest"),
         number=_word(fields.get("key"), "key", TOKEN),
         description=sdp,
         circuits=_figure(extras.get("width", 1), "width"),
@@ -87,7 +100,7 @@
         self.stands = True
         self.link.write(line("answer", self.wire_id, sdp=description))
         if self.link.closed:  # the write found it stalled: nobody has the answer, and nothing is owed
-            self.front.legs.pop(self.wire_id, None)
+            self.front.forget(self)
         return not self.link.closed
 
     def refuse(self, cause: int, wait_ms: int) -> None:
@@ -97,11 +110,11 @@
         self._final(line("release", self.wire_id, cause=cause))
 
     def _final(self, message: bytes) -> None:
-        if self.front.legs.pop(self.wire_id, None) is self:
+        if self.front.forget(self):
             self.link.write(message)
 
     def release(self, cause: int) -> None:
-        if self.front.legs.pop(self.wire_id, None) is self:
+        if self.front.forget(self):
             self.front.release_anywhere(self.wire_id, self.link, line("release", self.wire_id, cause=cause))
 
 
@@ -117,12 +130,22 @@
         self.gatekeeper, self.log, self.ready, self.most_links = gatekeeper, log, ready, most_links
         self.legs: dict[str, JsonLeg] = {}
         self.links: set[Link] = set()
+        self.asked: set[Link] = set()  # those that have brought a set-up
+        self.over: dict[str, None] = {}  # ids of calls that are over, oldest first
         self.owed: deque[tuple[float, bytes]] = deque(maxlen=MOST_OWED)
         self.unheard: dict[str, tuple[float, Link, bytes]] = {}  # releases written of late, by id
         self.server: asyncio.Server | None = None
 
     async def listen(self, host: str, port: int) -> None:
-        self.server = await asyncio.start_server(self._accepted, host, port, backlog=512)
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        listening = socket.socket(family, socket.SOCK_STREAM)
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listening.bind((host, port))
+        # Guards against running out of descriptors: the loop accepts as many at once as its backlog allows,
+        # before any of them can be turned away, and then takes no connection for a second. The system's own
+        # queue may be longer.
+        self.server = await asyncio.start_server(self._accepted, sock=listening, backlog=ACCEPTED_AT_ONCE)
+        listening.listen(BACKLOG)
 
     def stop_accepting(self) -> None:
         if self.server:
@@ -159,19 +182,31 @@
             if now - at < OWED_S:
                 link.write(message)
 
-        def take(chunks: Chunks) -> None:
-            while (text := chunks.line()) is not None:
+        # Guards against those who say nothing, or never end what they begin: each holds a descriptor.
+        first = link.loop.call_later(FIRST_S, self._drop, link, "nothing usable in time")
+
+        def take(chunks: Chunks) -> bool:
+            taken = False
+            while not link.closed and (text := chunks.line()) is not None:
                 self._heard(link, text)
+                first.cancel()
+                taken = True
+            return taken
 
         try:
-            ended = await link.read_all(take)
-            if ended != "closed":
+            ended = await link.read_all(take, REST_S, lambda: self._drop(link, "a message without end"))
+            if ended != "closed" and not link.closed:
                 self.log("notice", "front", f"connection ended: {ended}")
+        except FramingError as error:
+            if self._fail_open(link, str(error)):
+                await link.farewell()
         except Exception as error:  # noqa: BLE001 - one bad message must cost one connection, no more
             self.log("error", "front", f"connection dropped: {error!r}")
         finally:
+            first.cancel()
             link.abort()
             self.links.discard(link)
+            self.asked.discard(link)
             for leg in [leg for leg in self.legs.values() if leg.link is link and not leg.stands]:
                 self._left(leg, NORMAL_CLEARING)
             # Guards against a release that was written as the caller closed: it goes out once more.
@@ -180,23 +215,57 @@
                     del self.unheard[wire_id]
                     self.release_anywhere(wire_id, link, message)
 
+    def _drop(self, link: Link, reason: str) -> None:
+        if self._fail_open(link, reason):
+            link.closed = True
+            link.writer.close()
+        else:
+            link.abort()
+
+    def _fail_open(self, link: Link, reason: str) -> bool:
+        """The connection is of no use any more, so its open set-ups are failed; whether there were any."""
+        self.log("warning", "front", f"connection dropped: {reason}")
+        open_legs = [leg for leg in self.legs.values() if leg.link is link and not leg.stands]
+        for leg in open_legs:
+            leg.fail(TEMPORARY_FAILURE)
+            if leg.call:
+                leg.call.left()
+        return bool(open_legs)
+
     def _make_room(self) -> bool:
-        busy = {id(leg.link) for leg in self.legs.values() if not leg.stands}
-        idle = min(
-            (one for one in self.links if id(one) not in busy), key=lambda one: one.heard_at, default=None
-        )
+        """Close the connection that is missed least: one that never brought a set-up, else one long idle."""
+        now = next(iter(self.links)).loop.time()
+        busy = {leg.link for leg in self.legs.values() if not leg.stands}
+
+        def worth(link: Link) -> tuple[bool, float]:
+            return link in self.asked or now - link.heard_at < YOUNG_S, link.heard_at
+
+        idle = min((one for one in self.links if one not in busy), key=worth, default=None)
         if idle:
             idle.abort()
             self.links.discard(idle)
         return idle is not None
 
+    def forget(self, leg: JsonLeg) -> bool:
+        """The call is over; false if it was already."""
+        if self.legs.get(leg.wire_id) is not leg:
+            return False
+        del self.legs[leg.wire_id]
+        self._over(leg.wire_id)
+        return True
+
+    def _over(self, wire_id: str) -> None:
+        self.over[wire_id] = None
+        if len(self.over) > MOST_OVER:
+            del self.over[next(iter(self.over))]
+
     def _heard(self, link: Link, text: memoryview) -> None:
         try:
             row = json.loads(str(text, "utf-8"))
         except (ValueError, RecursionError):
-            return self.log("warning", "front", "a line that is not JSON was dropped")
+            raise FramingError("a line that is not JSON") from None
         if not isinstance(row, dict) or not isinstance(row.get("id"), str) or not TOKEN.fullmatch(row["id"]):
-            return self.log("warning", "front", "a message without a usable id was dropped")
+            raise FramingError("a message without a usable id")
         kind, wire_id = row.get("type"), row["id"]
         if kind == "setup":
             self._set_up(link, row)
@@ -206,33 +275,39 @@
             link.write(line("pong", wire_id, cause=1 if self.ready() else 0))
         elif kind == "released":
             self.unheard.pop(wire_id, None)
-        elif kind not in SILENT_TYPES:
-            self.log("warning", "front", "a message of unknown type was dropped", type=str(kind)[:32])
+        elif kind != "progress":
+            raise FramingError("a message of unknown type")
 
     def _set_up(self, link: Link, row: dict[str, Any]) -> None:
         wire_id = row["id"]
-        if wire_id in self.legs:
-            return self.log(
-                "warning", "front", "a set-up with the id of an open call was dropped", call=wire_id
-            )
+        # Guards against a second answer under one id: whoever has it keeps his, and the other gets a close.
+        if wire_id in self.legs or wire_id in self.over or not HEX.fullmatch(wire_id):
+            raise FramingError("a set-up whose id is taken or none")
         try:
             offer = parse_offer(row)
         except BadSetUp as error:
             self.log("warning", "front", f"a set-up with an unusable {error} was failed", call=wire_id)
+            self._over(wire_id)
             return link.write(line("release", wire_id, cause=INVALID_ELEMENT))
+        self.asked.add(link)
         leg = self.legs[wire_id] = JsonLeg(self, link, wire_id)
         leg.call = self.gatekeeper.offer(offer, leg)
 
     def _release(self, link: Link, row: dict[str, Any]) -> None:
         leg = self.legs.get(row["id"])
         if leg is None:
-            return self.log("info", "front", "a release of no open call", call=row["id"])
+            # A release that crossed ours is heard; one of a call that never was is an error, and said so.
+            known = row["id"] in self.over
+            reply = (
+                line("released", row["id"]) if known else line("release", row["id"], cause=INVALID_REFERENCE)
+            )
+            return link.write(reply)
         cause = row.get("cause")
         link.write(line("released", leg.wire_id))
         self._left(leg, cause if isinstance(cause, int) and 0 < cause < 128 else NORMAL_CLEARING)
 
     def _left(self, leg: JsonLeg, cause: int) -> None:
         if not leg.stands:
-            self.legs.pop(leg.wire_id, None)  # no answer is owed any more
+            self.forget(leg)  # no answer is owed any more
         if leg.call:
             leg.call.left(cause)
--- a/tansyspur/net/link.py
+++ b/tansyspur/net/link.py
@@ -1,15 +1,17 @@
 """One TCP connection: read in chunks, written without waiting, dropped when the other side stalls."""
 
 import asyncio
+import contextlib
 import socket
 from collections.abc import Callable
 
-from tansyspur.net.framing import LONGEST, Chunks, FramingError
+from tansyspur.net.framing import LONGEST, Chunks
 
-READ_SIZE = 64 * 1024
+READ_SIZE = 16 * 1024  # what one connection may bring before the others have their turn
 SEND_BUFFER = 8 * 1024  # of the kernel: what a stalled peer can be owed
 MOST_UNSENT = 256 * 1024
 STALL_S = 0.5  # bytes that stay unsent for so long show that the other side takes none
+LINGER_S, LINGER_BYTES = 0.2, 512 * 1024  # what is still read, and dropped, after the last word
 
 
 class Link:
@@ -28,21 +30,46 @@
         if sock is not None:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
 
-    async def read_all(self, on_data: Callable[[Chunks], None]) -> str:
-        """Until the connection ends; says how it ended."""
+    async def read_all(
+        self, on_data: Callable[[Chunks], bool], rest_s: float, unfinished: Callable[[], None]
+    ) -> str:
+        """Until the connection ends; says how it ended. A FramingError is the caller's to handle.
+
+        on_data says whether it took a message. unfinished() is called when the next one has begun and does
+        not end within rest_s: where a length is wrong, all that follows would be taken for a part of it.
+        """
+        rest: asyncio.TimerHandle | None = None
         try:
             while chunk := await self.reader.read(READ_SIZE):
                 self.heard_at = self.loop.time()
                 self.chunks.feed(chunk)
-                on_data(self.chunks)
-        except FramingError as error:
-            return str(error)
+                taken = on_data(self.chunks)
+                if rest and (taken or not self.chunks.view):
+                    rest.cancel()
+                    rest = None
+                if self.chunks.view and not rest:
+                    rest = self.loop.call_later(rest_s, unfinished)
+                if len(chunk) == READ_SIZE:
+                    # Guards against one flooding connection: a read of bytes that are there never waits.
+                    await asyncio.sleep(0)
         except OSError as error:
             return error.strerror or type(error).__name__
         finally:
-            self.abort()
+            if rest:
+                rest.cancel()
         return "closed"
 
+    async def farewell(self) -> None:
+        """Close after what is written. Guards against the reset that unread bytes would cause, which can
+        overtake the last answers."""
+        self.closed = True
+        dropped = 0
+        with contextlib.suppress(OSError, TimeoutError):
+            self.writer.write_eof()
+            async with asyncio.timeout(LINGER_S):
+                while dropped < LINGER_BYTES and (chunk := await self.reader.read(READ_SIZE)):
+                    dropped += len(chunk)
+
     @property
     def unsent(self) -> int:
         return 0 if self.closed else self.writer.transport.get_write_buffer_size()
--- a/tansyspur/net/sip.py
+++ b/tansyspur/net/sip.py
@@ -15,10 +15,22 @@
 
 INVITE_CSEQ = 1
 ABORT_S = 0.02
+REST_S = 0.5  # a message that has begun is whole by then
+MOST_GIVEN_UP = 1000
+START = re.compile(r"SIP/2\.0 [1-6][0-9]{2}(?: .*)?|[A-Z]{1,16} \S+ SIP/2\.0")
+HEADER = re.compile(r"[!-9;-~]+[ \t]*:.*")
+# As callers and switches describe a call: a word of its own, then lines of SDP (RFC 4566).
+DESCRIPTION = re.compile(r"\S+[ \t]*\r\n(?:[a-z]=[^\x00-\x08\x0a-\x1f\x7f]*\r\n)+")
 MOST_CONNECTIONS = 4
-SILENT_S = 1.0  # a set-up unanswered for so long, and nothing else heard: the link may be cut
+# A link that is silent for so long is asked for a sign of life: sooner if a call stands or waits there, as
+# the end of a call must be known within a second.
+QUIET_S, IDLE_S = 0.3, 2.0
+# Without one it takes no new set-up after the first of these, and is closed after the other.
+DOUBT_S, PONG_S = 0.1, 0.3
+WATCH_S = 0.05
 FIRST_REDIAL_S, LONGEST_REDIAL_S = 0.1, 2.0
 COMPACT = {"i": "call-id", "l": "content-length", "v": "via", "f": "from", "t": "to", "m": "contact"}
+SINGLE = ("call-id", "cseq", "content-length")
 CAUSES = {
     "all_trunks_busy": face.Cause.NO_CIRCUIT,
     "via_said_no": face.Cause.TURNED_BACK,
@@ -49,20 +61,36 @@
 
 
 def parse(chunks: Chunks) -> Message | None:
-    """The next whole message; None if it has not come."""
+    """The next whole message; None if it has not come.
+
+    What is no message is an error at once: where one begins is not known after it, and whatever is read from
+    there on may be put together from pieces of others.
+    """
     while chunks.view[:2] == b"\r\n":  # RFC 3261 section 7.5: empty lines before a message
         chunks.take(2)
+    if chunks.view[:1] != b"\r" and chunks.view and not 65 <= chunks.view[0] <= 90:
+        raise FramingError("what came is no SIP")
     end = chunks.find(b"\r\n\r\n")
     if end < 0 or end > LONGEST:
         if end > LONGEST or len(chunks.view) > LONGEST:
             raise FramingError("a SIP head is too long")
         return None
-    start, *lines = str(chunks.view[:end], "utf-8", "replace").split("\r\n")
+    try:
+        start, *lines = str(chunks.view[:end], "utf-8").split("\r\n")
+    except UnicodeDecodeError:
+        raise FramingError("a SIP head that is not text") from None
+    if not START.fullmatch(start):
+        raise FramingError("an unreadable first line")
     headers: dict[str, str] = {}
     for line in lines:
+        if not HEADER.fullmatch(line):
+            raise FramingError("an unreadable header")
         name, _, value = line.partition(":")
         name = name.strip().lower()
-        headers[COMPACT.get(name, name)] = value.strip()
+        name = COMPACT.get(name, name)
+        if name in headers and name in SINGLE:
+            raise FramingError(f"a SIP message with two of {name}")  # which of them holds is anybody's guess
+        headers[name] = value.strip()
     length = headers.get("content-length", "")
     if not re.fullmatch(r"[0-9]{1,9}", length):
         raise FramingError("a SIP message without a usable Content-Length")
@@ -85,7 +113,15 @@
 
 
 def description(body: memoryview) -> str:
-    return str(body, "utf-8", "surrogateescape")
+    """Of an answer. Guards against passing on one that was cut short, or that holds a part of the next
+    message: a length that does not fit makes both."""
+    try:
+        text = str(body, "utf-8")
+    except UnicodeDecodeError:
+        text = ""
+    if not DESCRIPTION.fullmatch(text):
+        raise FramingError("an answer with an unreadable description")
+    return text
 
 
 def request(method: str, target: str, call_id: str, cseq: int, *headers: str, body: bytes = b"") -> bytes:
@@ -156,6 +192,7 @@
             self.link.abort()
         elif self.link:
             self.link.write(request("CANCEL", self.order.offer.number, self.call_id, INVITE_CSEQ))
+            self.switch.gave_up(self.call_id)
 
     def release(self, cause: int) -> None:
         if not self.over:
@@ -182,6 +219,8 @@
         self.legs: dict[str, SipLeg] = {}  # waiting, out or standing, by Call-ID
         self.waiting: list[SipLeg] = []
         self.byes: dict[str, bytes] = {}  # releases that found no connection
+        self.asked: dict[Link, float] = {}  # links that owe a sign of life, and since when
+        self.given_up: dict[str, None] = {}  # Call-IDs of attempts given up of late: an answer may still come
         self.probes: dict[str, Callable[[face.Outcome, face.Report | None], None]] = {}
         self.probe_ids = itertools.count(1)
         self.retired = False
@@ -198,6 +237,8 @@
     ) -> SipLeg:
         leg = SipLeg(self, order, may_send, tell)
         self.legs[leg.call_id] = leg
+        self.byes.pop(leg.call_id, None)  # it would release this attempt in place of the one before
+        self.given_up.pop(leg.call_id, None)
         link = self._usable()
         if link:
             leg.send(link)
@@ -252,31 +293,43 @@
     # Connections
 
     def _usable(self) -> Link | None:
-        """A connection that takes bytes and is not silent under an unanswered set-up."""
-        now = self.loop.time()
-        fresh = [link for link in self.links if not link.closed and not link.unsent]
-        oldest: dict[int, float] = {}
-        for leg in self.legs.values():
-            if leg.link and not leg.stands:
-                oldest[id(leg.link)] = min(leg.sent_at, oldest.get(id(leg.link), now))
+        """A connection that takes bytes and is not in doubt."""
+        sure_at = self.loop.time() - DOUBT_S
         fresh = [
             link
-            for link in fresh
-            if not (now - oldest.get(id(link), now) > SILENT_S and link.heard_at < oldest[id(link)])
+            for link in self.links
+            if not link.closed and not link.unsent and self.asked.get(link, sure_at) >= sure_at
         ]
         return max(fresh, key=lambda link: link.heard_at, default=None)
 
+    def _watch(self) -> None:
+        """Guards against a link that stays open and brings nothing more: calls that end there would stand for
+        ever, and the group's state would never change again."""
+        now = self.loop.time()
+        used = {leg.link for leg in self.legs.values()}
+        for link in [link for link in self.links if not link.closed]:
+            if self.asked.get(link, now) < link.heard_at:
+                del self.asked[link]
+            if link in self.asked:
+                if now - self.asked[link] > PONG_S:
+                    self.log("warning", "sip", "a silent connection was closed", switch=self.name)
+                    link.abort()
+            elif now - link.heard_at > (QUIET_S if link in used else IDLE_S):
+                self.asked[link] = now
+                link.write(request("OPTIONS", "ping", f"ping-{next(self.probe_ids)}", 1))
+
     async def _keep(self) -> None:
         """Keeps one usable connection, as the state of the group comes over it."""
         redial_s = FIRST_REDIAL_S
         while not self.retired:
             self.wanted.clear()
+            self._watch()
             if self._usable() is None or self.waiting:
                 redial_s = FIRST_REDIAL_S if await self._dial() else min(LONGEST_REDIAL_S, redial_s * 2)
                 self.ever_dialled.set()
                 wait_s: float | None = redial_s
             else:
-                wait_s = SILENT_S
+                wait_s = WATCH_S
             try:
                 async with asyncio.timeout(wait_s):
                     await self.wanted.wait()
@@ -309,31 +362,51 @@
         task = self.loop.create_task(self._read(link), name=f"link to {self.name}")
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
-        waiting, self.waiting = self.waiting, []
-        for leg in waiting:
-            leg.send(link)
         byes, self.byes = self.byes, {}
         for message in byes.values():
             link.write(message)
+        waiting, self.waiting = self.waiting, []
+        for leg in waiting:
+            leg.send(link)
         return True
 
     async def _read(self, link: Link) -> None:
-        def take(chunks: Chunks) -> None:
-            while message := parse(chunks):
+        spoilt = ""
+
+        def take(chunks: Chunks) -> bool:
+            taken = False
+            while not link.closed and (message := parse(chunks)):
                 self._heard(link, message)
+                taken = True
+            return taken
+
+        def unfinished() -> None:
+            nonlocal spoilt
+            spoilt = "a message without end"
+            link.abort()
 
         try:
-            ended = await link.read_all(take)
-            if not self.retired:
+            ended = await link.read_all(take, REST_S, unfinished)
+            if not self.retired and not spoilt:
                 self.log("notice", "sip", f"connection ended: {ended}", switch=self.name)
+        except FramingError as error:
+            spoilt = str(error)
         except Exception as error:  # noqa: BLE001 - one bad message must cost one connection, no more
             self.log("error", "sip", f"connection dropped: {error!r}", switch=self.name)
         finally:
             link.abort()
             self.links.remove(link)
+            self.asked.pop(link, None)
             # The set-ups open on a connection are given up when it closes.
-            for leg in [leg for leg in self.legs.values() if leg.link is link and not leg.stands]:
+            cut = [leg for leg in self.legs.values() if leg.link is link and not leg.stands]
+            for leg in cut:
                 self.forget(leg)
+            if spoilt:
+                self.log("warning", "sip", f"connection dropped: {spoilt}", switch=self.name, cut=len(cut))
+            for leg in cut:
+                # Guards against a call that stands at the switch for nobody: its answer may be what was lost.
+                if not self.retired:
+                    self.bye(leg.call_id, NORMAL_CLEARING, None)
                 leg.tell(Ended(face.Outcome.CUT))
             self.wanted.set()
 
@@ -342,6 +415,11 @@
             self.forget(leg)
             leg.tell(Ended(face.Outcome.CUT if leg.link else face.Outcome.NO_ROUTE))
 
+    def gave_up(self, call_id: str) -> None:
+        self.given_up[call_id] = None
+        if len(self.given_up) > MOST_GIVEN_UP:
+            del self.given_up[next(iter(self.given_up))]
+
     def forget(self, leg: SipLeg) -> None:
         if self.legs.get(leg.call_id) is leg:
             del self.legs[leg.call_id]
@@ -378,10 +456,9 @@
             self.log("warning", "sip", "unexpected request", switch=self.name, method=method[:32])
 
     def _response(self, link: Link, message: Message) -> None:
-        status_text = message.start[8:11]
-        if not status_text.isdigit():
-            return self.log("warning", "sip", "unreadable status", switch=self.name)
-        status, method = int(status_text), message.headers.get("cseq", "").rpartition(" ")[2]
+        status, method = int(message.start[8:11]), message.headers.get("cseq", "").rpartition(" ")[2]
+        if not message.call_id or not method:
+            raise FramingError("an answer to nothing that can be told")
         if status < 200:
             return
         if method == "OPTIONS":
@@ -389,8 +466,14 @@
             return self._probed(message.call_id, outcome, parse_group(message.headers.get("x-group", "")))
         if method != "INVITE":
             return
-        link.write(request("ACK", message.call_id, message.call_id, INVITE_CSEQ))
         leg = self.legs.get(message.call_id)
+        given_up = message.call_id in self.given_up
+        self.given_up.pop(message.call_id, None)
+        if leg is None and not given_up:
+            # Guards against releasing a call that was never ours, and against a repeated answer.
+            return self.log("notice", "sip", "an answer to no set-up", switch=self.name)
+        stands = description(message.body) if status < 300 and leg and not leg.stands else ""
+        link.write(request("ACK", message.call_id, message.call_id, INVITE_CSEQ))
         # Guards against taking the answer to a second attempt for a late one: the switches match by Call-ID
         # and method, and answer every set-up with the number 1, so the number tells nothing.
         if leg is None or leg.link is not link:
@@ -402,7 +485,7 @@
             return
         if status < 300:
             leg.stands = True
-            return leg.tell(Stood(description(message.body)))
+            return leg.tell(Stood(stands))
         self.forget(leg)
         outcome = REFUSALS.get(status, face.Outcome.FAULT)
         cause = CAUSES.get(message.headers.get("x-cause", ""))
--- a/tansyspur/syslog.py
+++ b/tansyspur/syslog.py
@@ -12,6 +12,7 @@
 SD_ID = "call@32473"  # the enterprise number of RFC 5612, for documentation
 LINES_PER_S = 50.0
 BURST = 200.0
+KEPT = 100.0  # of the burst, for notices and what is worse
 LONGEST = 1800  # characters of one value or message; RFC 5424 asks receivers to take 2048 octets
 
 
@@ -57,7 +58,8 @@
         now = time.monotonic()
         self.allowance = min(BURST, self.allowance + (now - self.filled_at) * LINES_PER_S)
         self.filled_at = now
-        if self.allowance < 1:
+        # Guards against call records that crowd out the line which says why they went wrong.
+        if self.allowance < (1 if severity <= SEVERITIES["notice"] else KEPT):
             self.dropped += 1
             return
         self.allowance -= 1
