--- a/tansyspur/policy.py
+++ b/tansyspur/policy.py
@@ -40,6 +40,7 @@
 
 NEVER_RAN = (Outcome.NO_ROOM, Outcome.NO_ROUTE, Outcome.NOT_SENT)  # nothing may be left at the far end
 ANSWERS = (Outcome.NO_ROOM, Outcome.FAULT)  # besides a call that stands
+LOST = (Outcome.TIMED_OUT, Outcome.CUT)  # no answer came: tried again where that does no harm
 NEEDS_RELEASE = (Outcome.TIMED_OUT, Outcome.CUT, Outcome.CANCELLED)
 
 
@@ -390,9 +391,13 @@
             call.ready_ns = self.now + self.settings.release_ns  # rule 5
         if tandem and event.cause is Cause.TURNED_BACK:
             self._saw_legs(tandem.number, {call.offer.destination: 1.0})
-        again = event.cause is Cause.TURNED_BACK or timed_out and call.kind.effect is Effect.REPEATABLE
-        if never_sent and event.cause is Cause.NO_CIRCUIT:
-            self._route(call)  # the far end took the last circuit first: blocked after all
+        repeatable = call.kind.effect is Effect.REPEATABLE
+        again = event.cause is Cause.TURNED_BACK or event.outcome in LOST and repeatable
+        # The far end took the last circuit first: blocked after all. Or its signalling failed, which leaves
+        # nothing to wait for: a sick exchange may fail most set-ups, at once, and still take the others.
+        faulted = event.outcome is Outcome.FAULT and event.cause is None
+        if never_sent and event.cause is Cause.NO_CIRCUIT or faulted and repeatable:
+            self._route(call)
         elif again and not call.offer.in_transit:
             self._hold(call)
         else:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -532,3 +532,18 @@
     window, given = 1500 * MS, 4.0 * 0.3 * (10 + 10) * 1.5
     most = max(sum(at <= other < at + window for other in times) for at in times)
     assert len(times) > 50 and most <= given
+
+
+def test_a_signalling_fault_is_tried_again_at_once(desk):
+    # Guards against giving up at an exchange that fails most set-ups at once and takes the others.
+    assert sends(desk.call(1, 2)) == [102]
+    assert sends(desk.ended(1, 2, face.Outcome.FAULT, elapsed=12 * MS)) == [102]
+    busy = desk.ended(1, 2, face.Outcome.FAULT, 1, 12 * MS, cause=face.Cause.NUMBER_BUSY)
+    assert len(of_kind(busy, face.Refuse)) == 1
+
+
+def test_a_cut_set_up_is_tried_again_after_its_release(desk):
+    # Guards against refusing what a connection lost: the call could still stand in time.
+    assert sends(desk.call(1, 2)) == [102]
+    assert desk.ended(1, 2, face.Outcome.CUT) and desk.later(299 * MS, [2]) != [face.Refuse(1)]
+    assert sends(desk.later(60 * MS, [2])) == [102]
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -93,6 +93,18 @@
         assert second - first > 0.03
 
 
+@pytest.mark.parametrize("plan, least_s", [(["reset", "answer"], 0.2), (["500", "500", "answer"], 0)])
+@program
+async def test_a_set_up_that_was_lost_is_tried_again_and_not_before_its_release(plan, least_s):
+    switch = Switch("s-1", 1, plan=plan)
+    async with World(switch) as world:
+        caller = await world.caller()
+        call = caller.set_up(1)
+        assert (await caller.next(call))["type"] == "answer" and await caller.silent()
+        sent = [at for at, method, _ in switch.log if method == "INVITE"]
+        assert len(sent) == len(plan) and sent[-1] - sent[-2] >= least_s
+
+
 @program
 async def test_a_blocked_call_takes_the_tandem_and_a_transit_call_none():
     full, tandem = Switch("s-1", 1, free=0), Switch("s-2", 2)
--- a/tests/world.py
+++ b/tests/world.py
@@ -110,6 +110,7 @@
             self.send(writer, "SIP/2.0 100 Trying", call_id, "1 INVITE")
             self.send(writer, "SIP/2.0 200 OK", call_id, "1 INVITE", body=f"from-{self.name} \r\nv=0 é\r\n")
         elif what == "reset":
+            self.out.discard(call_id)
             writer.transport.abort()
         elif what != "silent":
             status, _, note = what.partition(" ")
