--- a/tansyspur/net/sip.py
+++ b/tansyspur/net/sip.py
@@ -15,18 +15,18 @@
 
 INVITE_CSEQ = 1
 ABORT_S = 0.02
-REST_S = 0.5  # a message that has begun is whole by then
+REST_S = 0.2  # a message that has begun is whole by then
 MOST_GIVEN_UP = 1000
 START = re.compile(r"SIP/2\.0 [1-6][0-9]{2}(?: .*)?|[A-Z]{1,16} \S+ SIP/2\.0")
 HEADER = re.compile(r"[!-9;-~]+[ \t]*:.*")
 # As callers and switches describe a call: a word of its own, then lines of SDP (RFC 4566).
 DESCRIPTION = re.compile(r"\S+[ \t]*\r\n(?:[a-z]=[^\x00-\x08\x0a-\x1f\x7f]*\r\n)+")
 MOST_CONNECTIONS = 4
-# A link that is silent for so long is asked for a sign of life: sooner if a call stands or waits there, as
-# the end of a call must be known within a second.
-QUIET_S, IDLE_S = 0.3, 2.0
+# A link that is silent for so long is asked for a sign of life: soon under a set-up, as its caller waits, and
+# under a call that stands, as its end must be known within a second.
+UNANSWERED_S, QUIET_S, IDLE_S = 0.15, 0.3, 2.0
 # Without one it takes no new set-up after the first of these, and is closed after the other.
-DOUBT_S, PONG_S = 0.1, 0.3
+DOUBT_S, PONG_S = 0.1, 0.25
 WATCH_S = 0.05
 FIRST_REDIAL_S, LONGEST_REDIAL_S = 0.1, 2.0
 COMPACT = {"i": "call-id", "l": "content-length", "v": "via", "f": "from", "t": "to", "m": "contact"}
@@ -306,7 +306,9 @@
         """Guards against a link that stays open and brings nothing more: calls that end there would stand for
         ever, and the group's state would never change again."""
         now = self.loop.time()
-        used = {leg.link for leg in self.legs.values()}
+        used: dict[Link | None, float] = {}
+        for leg in self.legs.values():
+            used[leg.link] = min(QUIET_S if leg.stands else UNANSWERED_S, used.get(leg.link, IDLE_S))
         for link in [link for link in self.links if not link.closed]:
             if self.asked.get(link, now) < link.heard_at:
                 del self.asked[link]
@@ -314,7 +316,7 @@
                 if now - self.asked[link] > PONG_S:
                     self.log("warning", "sip", "a silent connection was closed", switch=self.name)
                     link.abort()
-            elif now - link.heard_at > (QUIET_S if link in used else IDLE_S):
+            elif now - link.heard_at > used.get(link, IDLE_S):
                 self.asked[link] = now
                 link.write(request("OPTIONS", "ping", f"ping-{next(self.probe_ids)}", 1))
 
--- a/tansyspur/policy.py
+++ b/tansyspur/policy.py
@@ -36,7 +36,7 @@
 DELAY_WEIGHT = 0.4  # weight of the newest set-up delay
 LOSS_WEIGHT = 0.3  # weight of the newest slow set-up in the share of them whose answer never came
 OWN_WEIGHT = 0.1  # the same for the own processor; a quicker answer counts at once
-DELAY_FADES_NS = 1_000_000_000  # half-life of a set-up delay that no newer one confirms
+DELAY_FADES = 2.0  # half-life of a set-up delay that no newer one confirms, in pressure limits
 
 NEVER_RAN = (Outcome.NO_ROOM, Outcome.NO_ROUTE, Outcome.NOT_SENT)  # nothing may be left at the far end
 ANSWERS = (Outcome.NO_ROOM, Outcome.FAULT)  # besides a call that stands
@@ -60,14 +60,21 @@
 class Line:
     """One processor: the set-ups out through it, and how long they take to be answered."""
 
+    fades_ns: float  # half-life of the delay
     delay_ns: float = 0.0  # smoothed
     delay_at_ns: int = 0  # of the last answer
     passed_ns: int = 0  # when the newest set-up that was answered had been sent
     window: float = FIRST_WINDOW
     out: dict[int, int] = field(default_factory=dict)  # set-ups out, oldest first, and when sent
 
+    def waiting(self) -> list[int]:
+        """When the set-ups that may still be in its queue were sent, newest first. It works in order, so what
+        left before one that was answered has passed it, and its answer is lost or late for another reason.
+        One lost answer must not silence an exchange that answers all others."""
+        return list(takewhile(lambda at_ns: at_ns > self.passed_ns, reversed(self.out.values())))
+
     def faded(self, now: int) -> float:
-        return self.delay_ns * 0.5 ** ((now - self.delay_at_ns) / DELAY_FADES_NS)
+        return self.delay_ns * 0.5 ** ((now - self.delay_at_ns) / self.fades_ns)
 
     def answered(self, now: int, delay_ns: float, slow: bool) -> None:
         self.delay_ns, self.delay_at_ns = delay_ns, now
@@ -81,6 +88,7 @@
 class Neighbour:
     """What is known of one exchange number: its processes, our group toward it, and its own groups."""
 
+    line: Line  # its processor, by direct set-ups
     exchanges: dict[int, face.Exchange] = field(default_factory=dict)
     free: float | None = None
     size: float | None = None
@@ -90,7 +98,6 @@
     ordinal: int | None = None
     read_ns: float = -math.inf  # its last transit call here
     next_cold_ns: int = 0  # rule 4: earliest time of the next set-up while it is cold
-    line: Line = field(default_factory=Line)  # its processor, by direct set-ups
 
     def serving(self) -> face.Exchange | None:
         in_service = (one for one in self.exchanges.values() if one.state is ExchangeState.IN_SERVICE)
@@ -118,10 +125,13 @@
         self.held: dict[int, dict[int, Call]] = {}  # calls that wait for room, by destination
         self.refused: dict[str, int] = {}  # numbers of refused calls, and when they were first tried
         self.held_timer = False
-        self.own = Line(window=FIRST_OWN)  # the own processor, by all set-ups
         self.losing = 0.0  # share of the slow set-ups of late whose answer never came
         limit_ns = PRESSED_SHARE * min(kind.aim_ns for kind in settings.classes)
         self.limit_ns = min(limit_ns, settings.resend_ns or limit_ns)
+        self.fades_ns = (
+            DELAY_FADES * limit_ns
+        )  # aims may be short: a slow answer must not outlast them by far
+        self.own = Line(self.fades_ns, window=FIRST_OWN)  # the own processor, by all set-ups
         self.top_worth = max(kind.worth for kind in settings.classes)
         self.now = 0
         self.actions: list[face.Action] = []
@@ -168,7 +178,7 @@
         pressure, limit = self._pressure(destination), self._limit(call)
         reserve = self._reserved(destination) if transit else 0
         # A full window holds the call: a burst of held calls would refill a queue that has just drained.
-        within = len(neighbour.line.out) < neighbour.line.window and self._own_takes()
+        within = len(neighbour.line.waiting()) < neighbour.line.window and self._own_takes()
         if within and self.now >= call.ready_ns:  # rule 5
             fits = neighbour.free is None or neighbour.free >= call.offer.circuits + reserve
             if direct and fits and pressure < limit * (TANDEM_SHARE if transit else 1):
@@ -217,20 +227,19 @@
         return self.limit_ns * share * (LATE_LIMIT if self._late(call) < 1 else 1.0)
 
     def _pressure(self, number: int) -> float:
-        """Set-up delay to expect: the smoothed one, or the age of the oldest set-up unanswered; no less than
-        through the own processor, which all set-ups pass: there the quickest of late."""
+        """Set-up delay to expect: the smoothed one, or the age of the oldest set-up in the queue; no less
+        than through the own processor, which all set-ups pass: there the quickest of late."""
         line = self.neighbours[number].line
-        oldest = next(iter(line.out.values()), self.now)
+        oldest = min(line.waiting(), default=self.now)
         return max(line.faded(self.now), self.now - oldest, self.own.faded(self.now))
 
     def _own_takes(self) -> bool:
-        """The window of the own processor. It works in order, so a set-up that left before an answered one
-        has passed it and waits at a far end. A part of the fleet that is silent, cut off, hung, resetting or
-        losing answers must not silence the rest (report L197d18). Nor may all being silent: with nothing sent
-        nothing would answer, so one more leaves each limit. It may hurt at an own processor that stands still
-        (two more set-ups a second), and where one takes set-ups out of order (too many)."""
-        passed_ns = self.own.passed_ns
-        waiting = list(takewhile(lambda at_ns: at_ns > passed_ns, reversed(self.own.out.values())))
+        """The window of the own processor. A set-up that has passed it waits at a far end. A part of the
+        fleet that is silent, cut off, hung, resetting or losing answers must not silence the rest (report
+        L197d18). Nor may all being silent: with nothing sent nothing would answer, so one more leaves each
+        limit. It may hurt at an own processor that stands still (two more set-ups a second), and where one
+        takes set-ups out of order (too many)."""
+        waiting = self.own.waiting()
         return len(waiting) < self.own.window or self.now - waiting[0] >= self.limit_ns
 
     def _draw(self, call: Call) -> face.Exchange | None:
@@ -331,7 +340,7 @@
         over = self._pressure(call.offer.destination) / self._limit(call)
         waiting = len(self.held.get(call.offer.destination, ())) + 1
         circuits_ns = waiting * call.offer.circuits * call.kind.hold_ns / max(1.0, neighbour.size or 1.0)
-        return int(min(most_ns, max(DELAY_FADES_NS * math.log2(max(1.0, over)), circuits_ns)))
+        return int(min(most_ns, max(self.fades_ns * math.log2(max(1.0, over)), circuits_ns)))
 
     def _forget(self, call_id: int) -> None:
         call = self.calls.pop(call_id, None)
@@ -353,8 +362,12 @@
 
     def _answered(self, call_id: int, exchange_id: int, delay_ns: float | None, own_ns: float | None) -> None:
         neighbour, own = self.neighbours.get(self.numbers.get(exchange_id, -1)), self.own
-        line = neighbour.line if neighbour else Line()
-        if line.out.pop(call_id, None) is not None and delay_ns is not None:
+        line = neighbour.line if neighbour else Line(self.fades_ns)
+        sent_ns = line.out.pop(call_id, 0)
+        in_order = sent_ns > line.passed_ns
+        if in_order and own_ns is not None:
+            line.passed_ns = sent_ns
+        if in_order and delay_ns is not None:
             smoothed = (1 - DELAY_WEIGHT) * line.faded(self.now) + DELAY_WEIGHT * delay_ns
             line.answered(self.now, smoothed, delay_ns > self.limit_ns)
         sent_ns = own.out.pop(call_id, 0)
@@ -375,12 +388,13 @@
         full = event.cause in (Cause.PROCESSOR_FULL, Cause.FAR_PROCESSOR_FULL)
         sample = 2 * self.limit_ns if full or event.outcome is Outcome.NO_ROUTE else event.elapsed_ns
         never_sent = event.outcome is Outcome.NOT_SENT
+        no_delay = never_sent or event.outcome is Outcome.CUT  # that is a connection's, and tells of no queue
         timed_out = event.outcome is Outcome.TIMED_OUT
         if timed_out and event.elapsed_ns > self.limit_ns:
             self.losing += LOSS_WEIGHT * (1 - self.losing)
         # Only an answer tells of the own processor: a time-out, a cut or a missing route is a far end's.
         own_ns = event.elapsed_ns if event.outcome in ANSWERS else None
-        self._answered(event.call_id, event.exchange_id, None if never_sent else sample, own_ns)
+        self._answered(event.call_id, event.exchange_id, None if no_delay else sample, own_ns)
         call = self.calls.get(event.call_id)
         if event.final or call is None:
             return self._forget(event.call_id)
@@ -437,7 +451,7 @@
     def _entry(self, exchange: face.Exchange) -> None:
         if exchange.number == self.settings.own_exchange:
             return
-        neighbour = self.neighbours.setdefault(exchange.number, Neighbour())
+        neighbour = self.neighbours.setdefault(exchange.number, Neighbour(Line(self.fades_ns)))
         self.numbers[exchange.exchange_id] = exchange.number
         known = neighbour.exchanges.pop(exchange.exchange_id, None)
         if exchange.state is not ExchangeState.GONE:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -547,3 +547,39 @@
     assert sends(desk.call(1, 2)) == [102]
     assert desk.ended(1, 2, face.Outcome.CUT) and desk.later(299 * MS, [2]) != [face.Refuse(1)]
     assert sends(desk.later(60 * MS, [2])) == [102]
+
+
+def test_one_lost_answer_does_not_silence_its_exchange(desk):
+    # Guards against taking a set-up that others have overtaken for a queue: its answer is lost or late.
+    assert sends(desk.call(1, 2)) == [102]
+    desk.now += 10 * MS
+    assert sends(desk.call(2, 2)) == [102]
+    desk.now += 30 * MS
+    desk.stands(2, 2, 30 * MS)
+    desk.now += 900 * MS
+    assert sends(desk.call(3, 2)) == [102]
+    desk.stands(3, 2, 0)
+    desk.ended(1, 2, face.Outcome.TIMED_OUT, elapsed=940 * MS)
+    assert sends(desk.call(4, 2)) == [102]
+
+
+def test_a_cut_connection_does_not_silence_its_exchange(desk):
+    # Guards against taking the time until a connection was found dead for a set-up delay.
+    assert sends(desk.call(1, 2)) == [102]
+    desk.now += 1800 * MS
+    desk.ended(1, 2, face.Outcome.CUT, elapsed=1800 * MS)
+    assert sends(desk.call(2, 2)) == [102]
+
+
+def test_a_slow_answer_is_forgotten_sooner_where_aims_are_short():
+    # Guards against a fixed memory of delays: one slow answer outlasted the aims of all who came after it.
+    quick = tuple(face.CallClass(name, 1.0, 300 * MS, 3 * S, 0.25, S) for name in ("check", "urgent"))
+    desk = Desk(classes=quick)
+    desk.list(1, 2, 3, 4)
+    desk.group(2, 20)
+    assert sends(desk.call(1, 2)) == [102]
+    desk.now += 900 * MS
+    desk.stands(1, 2, 900 * MS)
+    assert sends(desk.call(2, 2)) == []
+    desk.now += 700 * MS
+    assert sends(desk.call(3, 2)) == [102]
