--- a/tansyspur/net/jsonlines.py
+++ b/tansyspur/net/jsonlines.py
@@ -4,8 +4,8 @@
 import json
 import re
 import socket
-from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass, field
 from typing import Any
 
 from tansyspur.core.gatekeeper import Call, Gatekeeper
@@ -123,6 +123,15 @@
     return json.dumps(row, separators=(",", ":")).encode() + b"\n"
 
 
+@dataclass(slots=True)
+class Owed:
+    """A release that found no caller's connection, and the connections it was written to all the same."""
+
+    at: float
+    message: bytes
+    told: set[Link] = field(default_factory=set)
+
+
 class JsonLinesFront:
     def __init__(
         self, gatekeeper: Gatekeeper, log: Log, most_links: int, ready: Callable[[], bool] = lambda: True
@@ -132,7 +141,7 @@
         self.links: set[Link] = set()
         self.asked: set[Link] = set()  # those that have brought a set-up
         self.over: dict[str, None] = {}  # ids of calls that are over, oldest first
-        self.owed: deque[tuple[float, bytes]] = deque(maxlen=MOST_OWED)
+        self.owed: dict[str, Owed] = {}  # releases that no caller is known to have been told, oldest first
         self.unheard: dict[str, tuple[float, Link, bytes]] = {}  # releases written of late, by id
         self.server: asyncio.Server | None = None
 
@@ -162,12 +171,28 @@
             del self.unheard[next(iter(self.unheard))]
         live: Link | None = link
         if link.closed or link.unsent:
-            live = next((one for one in self.links if not one.closed and not one.unsent), None)
+            # Guards against telling those who hold a connection and make no calls: they pass nothing on.
+            usable = (one for one in self.asked if not one.closed and not one.unsent)
+            live = max(usable, key=lambda one: one.heard_at, default=None)
         if live:
             live.write(message)
             self.unheard[wire_id] = (now, live, message)
-        else:
-            self.owed.append((now, message))
+        elif len(self.owed) < MOST_OWED:
+            self.owed[wire_id] = Owed(now, message)
+
+    def _pay(self, link: Link) -> None:
+        """What is owed to callers, told here once. Over only when this proves to be a caller's connection."""
+        now = link.loop.time()
+        for wire_id, owed in list(self.owed.items()):
+            if now - owed.at > OWED_S:
+                del self.owed[wire_id]
+                continue
+            if link not in owed.told:
+                owed.told.add(link)
+                link.write(owed.message)
+            if link in self.asked:
+                del self.owed[wire_id]
+                self.unheard[wire_id] = (now, link, owed.message)
 
     async def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if len(self.links) >= self.most_links and not self._make_room():
@@ -176,11 +201,7 @@
             return
         link = Link(reader, writer)
         self.links.add(link)
-        now = link.loop.time()
-        while self.owed:
-            at, message = self.owed.popleft()
-            if now - at < OWED_S:
-                link.write(message)
+        self._pay(link)
 
         # Guards against those who say nothing, or never end what they begin: each holds a descriptor.
         first = link.loop.call_later(FIRST_S, self._drop, link, "nothing usable in time")
@@ -275,6 +296,7 @@
             link.write(line("pong", wire_id, cause=1 if self.ready() else 0))
         elif kind == "released":
             self.unheard.pop(wire_id, None)
+            self.owed.pop(wire_id, None)
         elif kind != "progress":
             raise FramingError("a message of unknown type")
 
@@ -290,6 +312,7 @@
             self._over(wire_id)
             return link.write(line("release", wire_id, cause=INVALID_ELEMENT))
         self.asked.add(link)
+        self._pay(link)
         leg = self.legs[wire_id] = JsonLeg(self, link, wire_id)
         leg.call = self.gatekeeper.offer(offer, leg)
 
@@ -303,6 +326,7 @@
             )
             return link.write(reply)
         cause = row.get("cause")
+        self.asked.add(link)
         link.write(line("released", leg.wire_id))
         self._left(leg, cause if isinstance(cause, int) and 0 < cause < 128 else NORMAL_CLEARING)
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -334,6 +334,36 @@
         assert await first.silent(LONG) and {(await switch.next("CANCEL"))[1] for _ in both} == set(both)
 
 
+@program
+async def test_the_end_of_a_call_is_told_to_a_caller_and_not_to_who_only_holds_a_connection():
+    # Guards against passing a release to a connection that has brought no call: nobody hears it there.
+    switch = Switch("s-1", 1)
+    async with World(switch) as world:
+        holders = [await world.caller() for _ in range(5)]
+        for holder in holders:
+            holder.say("ping", "00000000000000ff", cause=0)
+            await holder.next(kind="pong")
+        first, second = await world.caller(), await world.caller()
+        calls = [first.set_up(1) for _ in range(2)]
+        for call in calls:
+            await first.next(call, "answer")
+        await second.next(second.set_up(1), "answer")
+        first.close()
+        await asyncio.sleep(0.2)
+        switch.bye(calls[0])
+        assert (await second.next(calls[0]))["type"] == "release"
+        second.close()
+        await asyncio.sleep(0.2)
+        switch.bye(calls[1])  # no caller is left but holders: told to the next that calls
+        await asyncio.sleep(0.2)
+        idle, third = await world.caller(), await world.caller()
+        await idle.next(calls[1], "release")
+        third.set_up(1)
+        assert (await third.next(calls[1]))["type"] == "release"
+        third.say("released", calls[1])
+        assert await holders[0].silent()
+
+
 @program
 async def test_the_release_of_a_call_that_is_over_is_heard_and_of_none_an_error():
     async with World(Switch("s-1", 1, plan=["500"])) as world:
