--- a/tansyspur/__main__.py
+++ b/tansyspur/__main__.py
@@ -5,10 +5,13 @@
 
 import argparse
 import asyncio
+import contextlib
 import random
 import signal
+import socket
 import sys
 from collections.abc import Callable
+from typing import Any
 
 from tansyspur import config as configuration
 from tansyspur import interface as face
@@ -19,14 +22,19 @@
 from tansyspur.iax2.front import Iax2Front, turn_away
 from tansyspur.iax2.media import Bridge
 from tansyspur.iax2.transport import Endpoint
+from tansyspur.net import handover
 from tansyspur.net.channel import Channel
+from tansyspur.net.console import Console
+from tansyspur.net.handover import Handover, Partner
 from tansyspur.net.jsonlines import JsonLinesFront
-from tansyspur.net.peers import Peers
+from tansyspur.net.peers import Peers, split
 from tansyspur.net.sip import SipSwitch
 from tansyspur.syslog import Syslog
 
 ACCEPT_S = 0.8  # after SIGTERM, connections and requests keep coming for 0.6 s
 EXIT_MARGIN_S = 0.4  # before the time at which SIGKILL may come
+LONGEST_REPLACED_S = 5.0  # counted as the longest deadline, where another process takes the calls
+CURRENT_S = 2.5  # for the command channel's first number, which comes each second
 READY_S = 1.5  # a switch that cannot be dialled must not keep the gatekeeper from its test for longer
 
 
@@ -59,14 +67,24 @@
                 on_report,
                 log,
             )
+        switches[:] = [one for one in switches if not one.retired]
         made = SipSwitch(name, address, on_report, log, config.dial_timeout_s)
         switches.append(made)
         return made
 
     gatekeeper = Gatekeeper(config.settings, config.seed, make_switch, log)
     peers = Peers(list(config.peers), config.peers_all, gatekeeper.peer_message, log)
+    console = Console(gatekeeper, log)
+    if config.console:
+        gatekeeper.spawn(console.open(*config.console), "console")
+    path = handover.place(config.name)
+    asked = handover.ask(path, log) if path else None
+    sockets, line = asked or ({}, None)
+    if "callers" not in sockets:
+        sockets["callers"] = handover.listener(*config.listen)
     if config.peer_listen and config.settings.may_message:
-        await peers.open(config.peer_listen)
+        if "peers" not in sockets:
+            sockets["peers"] = handover.listener(*split(config.peer_listen), socket.SOCK_DGRAM)
         gatekeeper.messenger = peers
     channel = Channel(config.channel, gatekeeper.list_changed, gatekeeper.spawn, log)
     channel.known(dict(config.known))
@@ -90,13 +108,89 @@
         channel.move(fresh.channel)
 
     loop.add_signal_handler(signal.SIGHUP, reload)
-    started = loop.time()
+    front = JsonLinesFront(gatekeeper, log, config.limits.sockets * 6 // 10, sockets["callers"])
 
-    def ready() -> bool:
-        return loop.time() - started > READY_S or all(one.ever_dialled.is_set() for one in switches)
+    def share() -> None:
+        """Two processes share one budget of descriptors, one has it all."""
+        two = predecessor is not None or post is not None and post.successor is not None
+        front.limit(config.limits.sockets * (3 if two else 6) // 10)
 
-    front = JsonLinesFront(gatekeeper, log, config.limits.sockets * 6 // 10, ready)
-    await front.listen(*config.listen)
+    def from_successor(partner: Partner, row: dict[str, Any]) -> None:
+        """It serves: nothing new comes here, and what finds no connection here may find one there."""
+        if row["type"] == "serving":
+            log("notice", "handover", "the successor serves", calls=len(gatekeeper.calls))
+            front.stop_accepting()
+            peers.close()
+            gatekeeper.messenger = None
+            front.elsewhere, front.hands_over = partner.tell, True
+            front.pass_owed()
+        elif row["type"] == "release":
+            front.heard_elsewhere(row)
+
+    def successor_changed() -> None:
+        share()
+        if post and not post.successor and front.hands_over:
+            # It has gone before it was needed, or we end and do so alone.
+            front.elsewhere, front.hands_over = None, False
+            if not gatekeeper.ending:
+                gatekeeper.spawn(serve_callers(), "take up again")
+
+    def from_predecessor(row: dict[str, Any]) -> None:
+        if row["type"] == "release":
+            front.release_elsewhere(row)
+
+    async def serve_callers() -> None:
+        await front.accept()
+        if "peers" in sockets:
+            await peers.open(sockets["peers"])
+            gatekeeper.messenger = peers
+        if post:
+            await post.open()
+
+    async def until_ready() -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(READY_S):
+                while waited := [
+                    one for one in switches if not one.retired and not one.ever_dialled.is_set()
+                ]:
+                    await waited[0].ever_dialled.wait()
+
+    predecessor: Partner | None = None
+    post = (
+        Handover(path, lambda: sockets, from_successor, successor_changed, gatekeeper.spawn, log)
+        if path
+        else None
+    )
+    if line:
+        # The predecessor serves until this process knows as much as it does.
+        reader, writer = await asyncio.open_unix_connection(sock=line)
+        predecessor = Partner(reader, writer, from_predecessor)
+        gatekeeper.spawn(predecessor.run(), "predecessor")
+        share()
+        front.elsewhere = predecessor.tell
+        log("notice", "handover", "taking over", sockets=",".join(sockets))
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CURRENT_S):
+                await channel.current.wait()
+        await until_ready()
+        await serve_callers()
+        predecessor.tell("serving")
+        gatekeeper.started = True
+
+        async def alone() -> None:
+            nonlocal predecessor
+            assert predecessor
+            await predecessor.gone.wait()
+            predecessor = front.elsewhere = None
+            share()
+            log("notice", "handover", "the predecessor has gone")
+
+        gatekeeper.spawn(alone(), "alone")
+    else:
+        await serve_callers()
+        gatekeeper.spawn(until_ready(), "start").add_done_callback(
+            lambda _: setattr(gatekeeper, "started", True)
+        )
     if config.iax2:
         callers = Iax2Front(
             gatekeeper,
@@ -117,15 +211,28 @@
     await stop.wait()
 
     log("notice", "stop", "finishing what was taken", calls=len(gatekeeper.calls))
+    gatekeeper.ending = True
     stopped = loop.time()
-    await asyncio.sleep(ACCEPT_S)
-    front.stop_accepting()
-    endpoint.on_new = turn_away
-    until = stopped + max(3.0, config.longest_deadline_s) + 0.7 - EXIT_MARGIN_S
-    await gatekeeper.finish(until - loop.time())
+    successor = post.successor if post else None
+    if successor and successor.serving:
+        front.send_away()
+        endpoint.on_new = turn_away
+        until = stopped + min(LONGEST_REPLACED_S, config.longest_deadline_s) + 0.7 - EXIT_MARGIN_S
+        await gatekeeper.finish(until - loop.time(), keep_standing=True)
+        # What stands goes on until its end, or until we are killed.
+        over = [asyncio.ensure_future(wait) for wait in (gatekeeper.all_over(), successor.gone.wait())]
+        await asyncio.wait(over, return_when=asyncio.FIRST_COMPLETED)
+        await gatekeeper.finish(0)
+    else:
+        await asyncio.sleep(ACCEPT_S)
+        front.stop_accepting()
+        endpoint.on_new = turn_away
+        until = stopped + max(3.0, config.longest_deadline_s) + 0.7 - EXIT_MARGIN_S
+        await gatekeeper.finish(until - loop.time())
     front.close()
     gatekeeper.close()
     peers.close()
+    console.close()
     await asyncio.sleep(0.05)  # the last releases leave
     endpoint.close()
     return 0
--- a/tansyspur/config.py
+++ b/tansyspur/config.py
@@ -17,7 +17,7 @@
 
 
 # What a reload leaves as it is: sockets, calls and the module are bound to these from the start.
-AT_START = ("name", "listen", "settings", "limits", "peer_listen", "peers", "peers_all", "iax2")
+AT_START = ("name", "listen", "console", "settings", "limits", "peer_listen", "peers", "peers_all", "iax2")
 
 
 class ConfigError(Exception):
@@ -69,6 +69,7 @@
     peers: tuple[str, ...] = ()
     peers_all: str | None = None
     channel: str | None = None
+    console: tuple[str, int] | None = None
     known: Mapping[str, Any] = field(default_factory=dict)
     dial_timeout_s: float = 0.5
     syslog: SyslogConfig = SyslogConfig()
@@ -133,6 +134,7 @@
     for key in ("peer_listen", "peers_all", "channel"):
         if found.get(key):
             address(found[key], key)
+    console = environment.get("ROUTER_CONSOLE") or found.get("console")
     seed = found.get("seed", 0)
     try:
         seed = int(seed, 16) if isinstance(seed, str) else int(seed)
@@ -153,6 +155,7 @@
         peers=tuple(peers),
         peers_all=found.get("peers_all"),
         channel=found.get("channel"),
+        console=address(console, "ROUTER_CONSOLE") if console else None,
         known=typed(found, "known", dict, {}),
         dial_timeout_s=seconds(wire_limits, "dial-timeout-ns", 0.5),
         syslog=syslog_config(typed(operated, "syslog", dict, {})),
--- a/tansyspur/core/gatekeeper.py
+++ b/tansyspur/core/gatekeeper.py
@@ -68,6 +68,41 @@
         self.call_ids = itertools.count(1)
         self.next_exchange_id = itertools.count(1)
         self.tasks: set[asyncio.Task[Any]] = set()
+        self.started = False  # its switches are dialled; it has been told the list
+        self.paused = False  # an operator has sent its callers elsewhere
+        self.ending = False
+        self.on_pause: list[Callable[[bool], None]] = []  # fronts that send their callers away, or stop to
+
+    # Whether it takes calls: one state, asked by every front and by the console
+
+    @property
+    def admits(self) -> bool:
+        """Whether callers may come; while the process ends, what they bring is still served."""
+        return self.started and not self.paused
+
+    @property
+    def ready(self) -> bool:
+        return self.admits and not self.ending
+
+    @property
+    def service(self) -> str:
+        if self.ending:
+            return "ending"
+        return "paused" if self.paused else "serving" if self.started else "starting"
+
+    def pause(self) -> None:
+        """Send callers away; what is open is served, what stands goes on. A second time changes nothing."""
+        self._set_paused(True)
+
+    def resume(self) -> None:
+        self._set_paused(False)
+
+    def _set_paused(self, paused: bool) -> None:
+        if self.paused is not paused:
+            self.paused = paused
+            self.log("notice", "service", self.service, calls=len(self.calls))
+            for tell in self.on_pause:
+                tell(paused)
 
     # What fronts, switches, channel and peers tell
 
@@ -402,22 +437,28 @@
         if not task.cancelled() and (error := task.exception()):
             self.log("error", "task", f"{task.get_name()} failed: {error!r}", trace=trace_of(error))
 
-    async def finish(self, seconds: float) -> None:
-        """Let the calls end by themselves for so long, then release those that still stand."""
+    async def finish(self, seconds: float, keep_standing: bool = False) -> None:
+        """Let the calls end by themselves for so long, then fail what is unanswered and release what still
+        stands, unless another process serves on and it may stand for longer."""
         loop = asyncio.get_running_loop()
         until = loop.time() + seconds
         # Guards against missing the calls that come while others are waited for.
         while self.calls and loop.time() < until:
             tasks = [call.task for call in self.calls.values() if call.task]
             await asyncio.wait(tasks, timeout=until - loop.time(), return_when=asyncio.FIRST_COMPLETED)
-        rest = [call.task for call in self.calls.values() if call.task]
-        for call in list(self.calls.values()):
+        left = [call for call in self.calls.values() if not (keep_standing and call.stands)]
+        rest = [call.task for call in left if call.task]
+        for call in left:
             if not call.stands:
                 call.caller.fail(ports.TEMPORARY_FAILURE)
             call.left(ports.TEMPORARY_FAILURE)
         if rest:
             await asyncio.wait(rest, timeout=0.2)
 
+    async def all_over(self) -> None:
+        while tasks := [call.task for call in self.calls.values() if call.task]:
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+
     def close(self) -> None:
         for switch in self.switches.values():
             switch.close()
--- a/tansyspur/net/channel.py
+++ b/tansyspur/net/channel.py
@@ -53,6 +53,7 @@
         self.cursor = 0
         self.gap_at = -1  # the cursor at which an event was missing the last time
         self.task: asyncio.Task[None] | None = None
+        self.current = asyncio.Event()  # the channel has told a number that we have reached
 
     def start(self) -> None:
         if self.address:
@@ -78,6 +79,9 @@
         cursor = event.get("cursor") if isinstance(event, dict) else None
         if not isinstance(cursor, int) or cursor <= self.cursor:
             return  # told again after a reconnect
+        if "nodes" not in event:
+            # Guards against counting an event as known by its number alone, which may come ahead of it.
+            return self._no_gap(cursor)
         if self.task:
             self._no_gap(cursor - 1)
         self.cursor = cursor
@@ -99,10 +103,12 @@
             row = json.loads(str(text, "utf-8"))
         except (ValueError, RecursionError):
             return self.log("warning", "channel", "a line that is not JSON was dropped")
+        if isinstance(row, int):
+            row = {"cursor": row}
         if isinstance(row, dict):
             self._event(row)
-        elif isinstance(row, int):
-            self._no_gap(row)
+            if "nodes" not in row:
+                self.current.set()
 
     def _no_gap(self, told: int) -> None:
         """Guards against an event that was lost on the way: it is asked for again, once. A channel that has
--- /dev/null
+++ b/tansyspur/net/console.py
@@ -0,0 +1,85 @@
+"""The operators' console: one line in, one answer out, on a connection of its own."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+
+from tansyspur.core.gatekeeper import Gatekeeper
+
+LONGEST_CALL = 256
+CALL_S = 5.0  # some connect and say nothing
+ANSWER_S = 2.0
+MOST_CALLERS = 32
+RETRY_S = 0.25
+
+Log = Callable[..., None]
+
+
+class Console:
+    def __init__(self, gatekeeper: Gatekeeper, log: Log) -> None:
+        self.gatekeeper, self.log = gatekeeper, log
+        self.callers: dict[asyncio.StreamWriter, None] = {}  # that have not called yet, oldest first
+        self.server: asyncio.Server | None = None
+        self.calls = {
+            "STATUS": self._status,
+            "PAUSE": self._pause,
+            "RESUME": self._resume,
+        }
+
+    async def open(self, host: str, port: int) -> None:
+        """Guards against ending the process because the one it replaces still holds the address."""
+        while True:
+            try:
+                self.server = await asyncio.start_server(self._called, host, port, limit=LONGEST_CALL)
+            except OSError as error:
+                self.log("warning", "console", f"cannot listen, will try again: {error}")
+                await asyncio.sleep(RETRY_S)
+                continue
+            return self.log("notice", "console", "listening", address=f"{host}:{port}")
+
+    def close(self) -> None:
+        if self.server:
+            self.server.close()
+
+    async def _called(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if len(self.callers) >= MOST_CALLERS:
+            # Guards against a crowd of silent callers: the one that has said nothing for longest goes.
+            oldest = next(iter(self.callers))
+            del self.callers[oldest]
+            oldest.transport.abort()
+        self.callers[writer] = None
+        with contextlib.suppress(OSError, TimeoutError):
+            try:
+                async with asyncio.timeout(CALL_S):
+                    line = await reader.readuntil(b"\n")
+            except asyncio.IncompleteReadError as cut:
+                line = cut.partial  # a last line without its end
+            except asyncio.LimitOverrunError:
+                line = b"?"
+            finally:
+                self.callers.pop(writer, None)
+            if line:
+                writer.write(self.answer(line.decode("ascii", "replace").strip()).encode())
+                async with asyncio.timeout(ANSWER_S):
+                    await writer.drain()
+        writer.close()
+
+    def answer(self, call: str) -> str:
+        known = self.calls.get(call.upper())
+        return known() if known else f"-ERR unknown call; there are {', '.join(self.calls)}\n"
+
+    def _status(self) -> str:
+        state = self.gatekeeper.service
+        return f"{'+OK' if self.gatekeeper.ready else '-ERR'} {state}\n"
+
+    def _pause(self) -> str:
+        if self.gatekeeper.ending:
+            return "-ERR this process is ending\n"
+        self.gatekeeper.pause()
+        return "+OK paused\n"
+
+    def _resume(self) -> str:
+        if self.gatekeeper.ending:
+            return "-ERR this process is ending\n"
+        self.gatekeeper.resume()
+        return f"+OK {self.gatekeeper.service}\n"
--- a/tansyspur/net/jsonlines.py
+++ b/tansyspur/net/jsonlines.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import math
 import re
 import socket
 from collections.abc import Callable
@@ -19,6 +20,9 @@
 YOUNG_S = 0.3  # a connection so new may still bring its first set-up
 MOST_OVER = 4096  # ids of calls that are over, as releases may cross
 ACCEPTED_AT_ONCE, BACKLOG = 16, 512
+LOOKED_AWAY_S = 0.5  # the front asks each 0.1 s, and brings new connections for 0.2 s after a 'no'
+LAST_CALL_S, STILL_USED_S = 3.2, 2.5  # by 4 s no connection may hold a request of the last 2 s
+SWEEP_S = 0.02  # between looks for connections that may be closed, while callers are sent away
 OWED_S = 8.0  # a release that finds no connection is of no use after this
 MOST_OWED = 5_000
 CROSSING_S = 1.0  # a release on a connection that ends so soon after may not have arrived
@@ -133,10 +137,16 @@
 
 
 class JsonLinesFront:
-    def __init__(
-        self, gatekeeper: Gatekeeper, log: Log, most_links: int, ready: Callable[[], bool] = lambda: True
-    ) -> None:
-        self.gatekeeper, self.log, self.ready, self.most_links = gatekeeper, log, ready, most_links
+    def __init__(self, gatekeeper: Gatekeeper, log: Log, most_links: int, listening: socket.socket) -> None:
+        gatekeeper.on_pause.append(self.paused)
+        self.gatekeeper, self.log, self.most_links = gatekeeper, log, most_links
+        self.listening = listening
+        # To the other process, where two share the address: what is said of a call that is not ours.
+        self.elsewhere: Callable[..., None] | None = None
+        self.hands_over = False  # the other process has the callers now
+        self.resumed_at = -math.inf  # since when callers come; while they are sent away, never
+        self.sweeper: asyncio.TimerHandle | None = None
+        self.last_call: asyncio.TimerHandle | None = None
         self.legs: dict[str, JsonLeg] = {}
         self.links: set[Link] = set()
         self.asked: set[Link] = set()  # those that have brought a set-up
@@ -145,32 +155,97 @@
         self.unheard: dict[str, tuple[float, Link, bytes]] = {}  # releases written of late, by id
         self.server: asyncio.Server | None = None
 
-    async def listen(self, host: str, port: int) -> None:
-        family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        listening = socket.socket(family, socket.SOCK_STREAM)
-        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listening.bind((host, port))
+    async def accept(self) -> None:
+        """Take connections from now on. It is a copy of the socket that is served and closed: the queue
+        stays, for another process or for a second start."""
+        if self.server:
+            return
         # Guards against running out of descriptors: the loop accepts as many at once as its backlog allows,
         # before any of them can be turned away, and then takes no connection for a second. The system's own
-        # queue may be longer.
-        self.server = await asyncio.start_server(self._accepted, sock=listening, backlog=ACCEPTED_AT_ONCE)
-        listening.listen(BACKLOG)
+        # queue may be longer, and is made so before anything else runs.
+        asyncio.get_running_loop().call_soon(self.listening.listen, BACKLOG)
+        self.server = await asyncio.start_server(
+            self._accepted, sock=self.listening.dup(), backlog=ACCEPTED_AT_ONCE
+        )
 
     def stop_accepting(self) -> None:
         if self.server:
             self.server.close()
+            self.server = None
 
     def close(self) -> None:
         for link in list(self.links):
             link.writer.close()
 
-    def release_anywhere(self, wire_id: str, link: Link, message: bytes) -> None:
+    def limit(self, most_links: int) -> None:
+        """So many connections from now on; those that are missed least are closed."""
+        self.most_links = most_links
+        while len(self.links) > most_links and self._make_room():
+            pass
+
+    # Sending callers away
+
+    def paused(self, paused: bool) -> None:
+        """An operator sends the callers elsewhere, or has them back. The front of the platform must have
+        looked away first: who is sent off sooner comes back here."""
+        self.stop_sending_away()
+        loop = asyncio.get_running_loop()
+        self.resumed_at = math.inf if paused else loop.time()
+        if paused:
+            self.sweeper = loop.call_later(LOOKED_AWAY_S, self.send_away)
+            self.last_call = loop.call_later(LAST_CALL_S, self._send_off)
+
+    def _send_off(self) -> None:
+        """Those that are never without an open set-up: fail what is open rather than keep them."""
+        for link in list(self.links):
+            if link.heard_at > link.loop.time() - STILL_USED_S and not link.closed:
+                self._fail_open(link, "callers are sent away")
+                link.leave()
+
+    def send_away(self) -> None:
+        """Close each connection as soon as its set-ups are answered, until told to stop.
+
+        Guards against closing under a set-up. One that crosses the close is brought again by its caller.
+        """
+        loop = asyncio.get_running_loop()
+        busy = {leg.link for leg in self.legs.values() if not leg.stands}
+        for link in list(self.links):
+            # What is new may still bring its first set-up, or ask whether we are ready.
+            if link not in busy and loop.time() - link.opened_at > YOUNG_S:
+                link.leave()
+        self.sweeper = loop.call_later(SWEEP_S, self.send_away)
+
+    def stop_sending_away(self) -> None:
+        for timer in (self.sweeper, self.last_call):
+            if timer:
+                timer.cancel()
+        self.sweeper = self.last_call = None
+
+    # What another process says of our calls, or we of its
+
+    def heard_elsewhere(self, row: dict[str, Any]) -> None:
+        """A release that reached the other process."""
+        if leg := self.legs.get(row["id"]):
+            self._left(leg, row["cause"])
+
+    def release_elsewhere(self, row: dict[str, Any]) -> None:
+        """The end of the other's call, for which it has no connection."""
+        self._over(row["id"])
+        self.release_anywhere(row["id"], None, line("release", row["id"], cause=row["cause"]))
+
+    def pass_owed(self) -> None:
+        """Releases that found no connection here, to the process that has them now."""
+        while self.elsewhere and self.hands_over and self.owed:
+            wire_id, owed = self.owed.popitem()
+            self.elsewhere("release", id=wire_id, cause=json.loads(owed.message)["cause"])
+
+    def release_anywhere(self, wire_id: str, link: Link | None, message: bytes) -> None:
         """On this connection if it lives, else on any, else on the next one."""
-        now = link.loop.time()
+        now = asyncio.get_running_loop().time()
         while self.unheard and next(iter(self.unheard.values()))[0] < now - CROSSING_S:
             del self.unheard[next(iter(self.unheard))]
         live: Link | None = link
-        if link.closed or link.unsent:
+        if link is None or link.closed or link.unsent:
             # Guards against telling those who hold a connection and make no calls: they pass nothing on.
             usable = (one for one in self.asked if not one.closed and not one.unsent)
             live = max(usable, key=lambda one: one.heard_at, default=None)
@@ -179,12 +254,13 @@
             self.unheard[wire_id] = (now, live, message)
         elif len(self.owed) < MOST_OWED:
             self.owed[wire_id] = Owed(now, message)
+            self.pass_owed()
 
     def _pay(self, link: Link) -> None:
         """What is owed to callers, told here once. Over only when this proves to be a caller's connection."""
         now = link.loop.time()
         for wire_id, owed in list(self.owed.items()):
-            if now - owed.at > OWED_S:
+            if now - max(owed.at, self.resumed_at) > OWED_S:
                 del self.owed[wire_id]
                 continue
             if link not in owed.told:
@@ -237,6 +313,8 @@
                     self.release_anywhere(wire_id, link, message)
 
     def _drop(self, link: Link, reason: str) -> None:
+        if link.closed:
+            return
         if self._fail_open(link, reason):
             link.closed = True
             link.writer.close()
@@ -293,7 +371,7 @@
         elif kind == "release":
             self._release(link, row)
         elif kind == "ping":
-            link.write(line("pong", wire_id, cause=1 if self.ready() else 0))
+            link.write(line("pong", wire_id, cause=1 if self.gatekeeper.admits else 0))
         elif kind == "released":
             self.unheard.pop(wire_id, None)
             self.owed.pop(wire_id, None)
@@ -321,6 +399,9 @@
         if leg is None:
             # A release that crossed ours is heard; one of a call that never was is an error, and said so.
             known = row["id"] in self.over
+            if not known and self.elsewhere and isinstance(row.get("cause"), int):
+                self.elsewhere("release", id=row["id"], cause=row["cause"])
+                known = True
             reply = (
                 line("released", row["id"]) if known else line("release", row["id"], cause=INVALID_REFERENCE)
             )
--- a/tansyspur/net/link.py
+++ b/tansyspur/net/link.py
@@ -24,7 +24,7 @@
         self.chunks = Chunks(longest)
         self.loop = asyncio.get_running_loop()
         self.closed = False
-        self.heard_at = self.loop.time()
+        self.heard_at = self.opened_at = self.loop.time()
         self.stall_timer: asyncio.TimerHandle | None = None
         sock = writer.get_extra_info("socket")
         if sock is not None:
@@ -42,6 +42,8 @@
         try:
             while chunk := await self.reader.read(READ_SIZE):
                 self.heard_at = self.loop.time()
+                if self.closed:
+                    continue  # the last word is said
                 self.chunks.feed(chunk)
                 taken = on_data(self.chunks)
                 if rest and (taken or not self.chunks.view):
@@ -70,6 +72,14 @@
                 while dropped < LINGER_BYTES and (chunk := await self.reader.read(READ_SIZE)):
                     dropped += len(chunk)
 
+    def leave(self) -> None:
+        """The same while read_all() runs: it reads, and drops, what still comes."""
+        if not self.closed:
+            self.closed = True
+            with contextlib.suppress(OSError):
+                self.writer.write_eof()
+            self.loop.call_later(LINGER_S, self.writer.transport.abort)
+
     @property
     def unsent(self) -> int:
         return 0 if self.closed else self.writer.transport.get_write_buffer_size()
--- a/tansyspur/net/peers.py
+++ b/tansyspur/net/peers.py
@@ -1,6 +1,7 @@
 """UDP datagrams of at most 256 bytes to and from the other gatekeepers of the tier."""
 
 import asyncio
+import socket
 from collections.abc import Callable
 from typing import cast
 
@@ -24,9 +25,10 @@
         self.on_message, self.log = on_message, log
         self.transport: asyncio.DatagramTransport | None = None
 
-    async def open(self, listen: str) -> None:
+    async def open(self, bound: socket.socket) -> None:
+        """Read from now on. A copy is read and closed: another process may hold the same socket."""
         loop = asyncio.get_running_loop()
-        await loop.create_datagram_endpoint(lambda: self, local_addr=split(listen))
+        await loop.create_datagram_endpoint(lambda: self, sock=bound.dup())
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # No isinstance here: by class, the selector loop's datagram transport is no DatagramTransport.
--- a/tansyspur/net/sip.py
+++ b/tansyspur/net/sip.py
@@ -286,6 +286,7 @@
 
     def close(self) -> None:
         self.retired = True
+        self.ever_dialled.set()  # nobody need wait for it
         self.keeper.cancel()
         for link in list(self.links):
             link.writer.close() if not link.unsent else link.abort()
--- a/tests/world.py
+++ b/tests/world.py
@@ -261,14 +261,48 @@
             path = Path(self.folder.name, "operator.toml")
             path.write_text(self.operator)
             arguments += ["--operator", str(path)]
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable, *arguments, cwd=ROOT, stderr=asyncio.subprocess.PIPE,
-            env={**os.environ, "ROUTER_NAME": "n0", "ROUTER_CONFIG": str(self.config)},
-        )  # fmt: skip
-        self.reading = asyncio.create_task(self.read_log())
+        self.arguments, self.reading = arguments, []
+        self.console_port = free_port()
+        self.process = await self.launch(self.console_port)
         await self.ready()
         return self
 
+    async def launch(self, console_port):
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, *self.arguments, cwd=ROOT, stderr=asyncio.subprocess.PIPE,
+            env={
+                **os.environ, "ROUTER_NAME": "n0", "ROUTER_CONFIG": str(self.config),
+                "TMPDIR": self.folder.name, "ROUTER_CONSOLE": f"127.0.0.1:{console_port}",
+            },
+        )  # fmt: skip
+        self.reading.append(asyncio.create_task(self.read_log(process)))
+        return process
+
+    async def replace(self):
+        """The next process, once it says that it is ready; the old one still runs, and is returned."""
+        old, self.console_port = self.process, free_port()
+        self.process = await self.launch(self.console_port)
+        await self.says("STATUS", "+OK")
+        return old
+
+    async def console(self, call, port=None):
+        """The answer to one call; empty if nobody listens."""
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", port or self.console_port)
+        except OSError:
+            return ""
+        async with asyncio.timeout(LONG):
+            writer.write(call.encode() + b"\n")
+            answer = (await reader.read()).decode()
+        writer.close()
+        return answer
+
+    async def says(self, call, start):
+        async with asyncio.timeout(LONG):
+            while not (answer := await self.console(call)).startswith(start):
+                await asyncio.sleep(0.05)
+        return answer
+
     def reload(self, **changed):
         self.config.write_text(json.dumps(self.document | changed))
         self.process.send_signal(signal.SIGHUP)
@@ -277,8 +311,8 @@
         self.switches.append(switch)
         return await switch.start(port)
 
-    async def read_log(self):
-        while line := await self.process.stderr.readline():
+    async def read_log(self, process):
+        while line := await process.stderr.readline():
             self.lines.append(line.decode().rstrip("\n"))
 
     async def ready(self):
@@ -318,7 +352,7 @@
         finally:
             if self.process.returncode is None:
                 self.process.kill()
-            await self.reading
+            await asyncio.gather(*self.reading)
             if error:
                 print("\n".join(self.lines))
             for server in [self.channel, *self.switches]:
