--- a/tansyspur/__main__.py
+++ b/tansyspur/__main__.py
@@ -147,6 +147,15 @@
         if post:
             await post.open()
 
+    async def open_iax2(iax2: configuration.Iax2Config) -> None:
+        """A call's frames come to its own process only, so the predecessor keeps the address to its end."""
+        if predecessor:
+            await predecessor.gone.wait()
+        await endpoint.open(*iax2.listen)
+        log("notice", "start", "listening for IAX2", address=":".join(map(str, iax2.listen)))
+        for name, refresh_s in iax2.register.items():
+            Registration(endpoint, iax2.peers[name], iax2.username, refresh_s, log).start()
+
     async def until_ready() -> None:
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(READY_S):
@@ -202,11 +211,11 @@
             config.iax2.most_calls,
             config.iax2.guests,
         )
-        endpoint.on_new = callers.on_new
-        await endpoint.open(*config.iax2.listen)
-        log("notice", "start", "listening for IAX2", address=":".join(map(str, config.iax2.listen)))
-        for name, refresh_s in config.iax2.register.items():
-            Registration(endpoint, config.iax2.peers[name], config.iax2.username, refresh_s, log).start()
+        endpoint.on_new, endpoint.available = callers.on_new, lambda: gatekeeper.admits
+        if predecessor:
+            gatekeeper.spawn(open_iax2(config.iax2), "IAX2")
+        else:
+            await open_iax2(config.iax2)
     log("notice", "start", "listening", name=config.name, address=":".join(map(str, config.listen)))
     await stop.wait()
 
--- a/tansyspur/iax2/front.py
+++ b/tansyspur/iax2/front.py
@@ -64,6 +64,10 @@
     def on_new(self, leg: Leg, frame: FullFrame, elements: dict[int, bytes]) -> LegUser | None:
         if not frame.is_iax(Iax.NEW):
             user: LegUser = RegistrationLeg(self.registrar)
+        elif not self.gatekeeper.admits:
+            # An IAX2 caller has no front that looks away: it is told at once, and calls another.
+            self.log("info", "iax2", "a call was turned away", peer=leg.address[0])
+            return turn_away(leg, frame, elements)
         else:
             user = Caller(self, leg)
         user.heard(leg, frame, elements)
--- a/tansyspur/iax2/transport.py
+++ b/tansyspur/iax2/transport.py
@@ -212,6 +212,7 @@
         self.numbers = itertools.cycle(range(1, MOST_CALL_NUMBER))
         # Who takes a NEW, REGREQ or REGREL that belongs to no leg; None refuses it.
         self.on_new: Callable[[Leg, FullFrame, dict[int, bytes]], LegUser | None] = lambda *_: None
+        self.available: Callable[[], bool] = lambda: True  # whether a POKE is to be answered with PONG
         self.transport: asyncio.DatagramTransport | None = None
 
     async def open(self, host: str, port: int) -> None:
@@ -233,8 +234,8 @@
         self.log("debug", "iax2", f"a datagram was not taken: {exc}")
 
     def leg(self, address: Address, user: LegUser | None) -> Leg | None:
-        """A new leg with a free call number; None when there are too many."""
-        if len(self.legs) >= self.most_legs:
+        """A new leg with a free call number; None when there are too many, or the socket is not ours yet."""
+        if len(self.legs) >= self.most_legs or self.transport is None:
             return None
         number = next(number for number in self.numbers if number not in self.legs)
         made = self.legs[number] = Leg(self, number, address, user)
@@ -286,6 +287,8 @@
 
     def _first(self, frame: FullFrame, addr: Address) -> None:
         if frame.is_iax(Iax.POKE):
+            if not self.available():
+                return self._invalid(frame, addr)  # not a PONG: the other side places its calls elsewhere
             pong = FullFrame(
                 MOST_CALL_NUMBER,
                 frame.source,
--- a/tansyspur/net/jsonlines.py
+++ b/tansyspur/net/jsonlines.py
@@ -17,11 +17,13 @@
 INVALID_REFERENCE = 81  # Q.850: a release of no call
 FIRST_S = 2.5  # a connection that has said nothing usable for so long is closed
 REST_S = 2.0  # so is one on which a begun message does not end
+PAY_S = 0.05  # by then a connection of the platform's front has brought its test
 YOUNG_S = 0.3  # a connection so new may still bring its first set-up
 MOST_OVER = 4096  # ids of calls that are over, as releases may cross
 ACCEPTED_AT_ONCE, BACKLOG = 16, 512
 LOOKED_AWAY_S = 0.5  # the front asks each 0.1 s, and brings new connections for 0.2 s after a 'no'
-LAST_CALL_S, STILL_USED_S = 3.2, 2.5  # by 4 s no connection may hold a request of the last 2 s
+KEEP_LAST_S = 3.7  # ends of calls are owed within a second, but by 4 s no connection may be in use
+LAST_CALL_S = 3.87
 SWEEP_S = 0.02  # between looks for connections that may be closed, while callers are sent away
 OWED_S = 8.0  # a release that finds no connection is of no use after this
 MOST_OWED = 5_000
@@ -147,8 +149,11 @@
         self.resumed_at = -math.inf  # since when callers come; while they are sent away, never
         self.sweeper: asyncio.TimerHandle | None = None
         self.last_call: asyncio.TimerHandle | None = None
+        self.kept: Link | None = None  # while callers are sent away, for the ends of calls
+        self.keep_until = -math.inf
         self.legs: dict[str, JsonLeg] = {}
         self.links: set[Link] = set()
+        self.new: dict[Link, asyncio.TimerHandle] = {}  # those that have not shown yet whose they are
         self.asked: set[Link] = set()  # those that have brought a set-up
         self.over: dict[str, None] = {}  # ids of calls that are over, oldest first
         self.owed: dict[str, Owed] = {}  # releases that no caller is known to have been told, oldest first
@@ -192,26 +197,33 @@
         loop = asyncio.get_running_loop()
         self.resumed_at = math.inf if paused else loop.time()
         if paused:
+            self.keep_until = loop.time() + KEEP_LAST_S
             self.sweeper = loop.call_later(LOOKED_AWAY_S, self.send_away)
             self.last_call = loop.call_later(LAST_CALL_S, self._send_off)
 
     def _send_off(self) -> None:
         """Those that are never without an open set-up: fail what is open rather than keep them."""
         for link in list(self.links):
-            if link.heard_at > link.loop.time() - STILL_USED_S and not link.closed:
+            if not link.closed:
                 self._fail_open(link, "callers are sent away")
                 link.leave()
 
     def send_away(self) -> None:
         """Close each connection as soon as its set-ups are answered, until told to stop.
 
-        Guards against closing under a set-up. One that crosses the close is brought again by its caller.
+        Guards against closing under a set-up: one that crosses the close is brought again by its caller. And
+        against calls whose end nobody can be told in time: while some stand, the last connection is kept.
         """
         loop = asyncio.get_running_loop()
         busy = {leg.link for leg in self.legs.values() if not leg.stands}
+        callers = [link for link in self.links if link in self.asked and not link.closed]
+        if self.kept not in callers:
+            self.kept = callers[0] if callers else None
+        keep = loop.time() < self.keep_until and any(leg.stands for leg in self.legs.values())
         for link in list(self.links):
             # What is new may still bring its first set-up, or ask whether we are ready.
-            if link not in busy and loop.time() - link.opened_at > YOUNG_S:
+            young = loop.time() - link.opened_at < YOUNG_S
+            if link not in busy and not young and not (keep and link is self.kept):
                 link.leave()
         self.sweeper = loop.call_later(SWEEP_S, self.send_away)
 
@@ -256,6 +268,10 @@
             self.owed[wire_id] = Owed(now, message)
             self.pass_owed()
 
+    def _not_new(self, link: Link) -> None:
+        if timer := self.new.pop(link, None):
+            timer.cancel()
+
     def _pay(self, link: Link) -> None:
         """What is owed to callers, told here once. Over only when this proves to be a caller's connection."""
         now = link.loop.time()
@@ -277,7 +293,7 @@
             return
         link = Link(reader, writer)
         self.links.add(link)
-        self._pay(link)
+        self.new[link] = link.loop.call_later(PAY_S, self._pay, link)
 
         # Guards against those who say nothing, or never end what they begin: each holds a descriptor.
         first = link.loop.call_later(FIRST_S, self._drop, link, "nothing usable in time")
@@ -301,6 +317,7 @@
             self.log("error", "front", f"connection dropped: {error!r}")
         finally:
             first.cancel()
+            self._not_new(link)
             link.abort()
             self.links.discard(link)
             self.asked.discard(link)
@@ -371,6 +388,9 @@
         elif kind == "release":
             self._release(link, row)
         elif kind == "ping":
+            # Guards against answering a test with what is owed: to the platform's front anything but a pong
+            # is a no, and the callers who should be told would never come back.
+            self._not_new(link)
             link.write(line("pong", wire_id, cause=1 if self.gatekeeper.admits else 0))
         elif kind == "released":
             self.unheard.pop(wire_id, None)
--- a/tests/test_iax2.py
+++ b/tests/test_iax2.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import re
+import signal
 import socket
 import struct
 import tomllib
@@ -368,3 +369,42 @@
         changed = re.sub(rf"(?m)^{key} = .*$", f"{key}x = 1", broken)
         with pytest.raises(config.ConfigError, match=key):
             config.iax2_config(tomllib.loads(changed), "n0", settings, secrets)
+
+
+@program
+async def test_paused_callers_by_iax2_are_turned_away_and_come_back():
+    switch = Switch("s-1", 1)
+    async with Iax2World(switch) as world:
+        standing = world.call("2105")
+        assert (await standing.final())[:2] == ANSWERED
+        assert (await world.console("PAUSE")).startswith("+OK")
+        _, sub, elements = await world.call().final()
+        assert sub == iax.REJECT and elements[iax.CODE][0] == 42
+        poke = iax.full(77, 0, 1, 0, 0, iax.IAX, iax.POKE)
+        world.shed.raw(poke, world.iax2)
+        async with asyncio.timeout(LONG):
+            assert (await world.shed.replies.get())[:2] == (iax.IAX, iax.INVAL)
+        assert len(standing.finals) == 1 and switch.count("INVITE") == 1
+        assert (await world.console("RESUME")).startswith("+OK")
+        world.shed.raw(poke, world.iax2)
+        async with asyncio.timeout(LONG):
+            while (await world.shed.replies.get())[:2] != (iax.IAX, iax.PONG):
+                pass
+        assert (await world.call().final())[:2] == ANSWERED
+
+
+@program
+async def test_the_next_process_takes_the_iax2_address_once_the_old_one_is_done():
+    # Guards against ending the new process because the old one still holds the address.
+    switch = Switch("s-1", 1)
+    async with Iax2World(switch) as world:
+        standing = world.call("2105")
+        assert (await standing.final())[:2] == ANSWERED
+        old = await world.replace()
+        old.send_signal(signal.SIGTERM)
+        _, call_id, _, _ = await switch.next("INVITE")
+        switch.bye(call_id)
+        assert (await standing.final())[1] == iax.HANGUP  # it stood to its end
+        await world.logged("the predecessor has gone")
+        await world.logged(rf"tansyspur {world.process.pid} start .*listening for IAX2")
+        assert (await world.call().final())[:2] == ANSWERED
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -120,3 +120,57 @@
         leftover.close()
         caller = await world.caller()
         assert (await caller.next(caller.set_up(1)))["type"] == "answer"
+
+
+@program
+async def test_paused_it_sends_callers_away_and_resumed_it_has_them_back():
+    switch, slow = Switch("s-1", 1), Switch("s-2", 2, plan=["silent"])
+    async with World(switch, slow) as world:
+        idle, busy, never_idle = [await world.caller() for _ in range(3)]
+        standing = idle.set_up(1)
+        await idle.next(standing, "answer")
+        open_call, long_call = busy.set_up(2, left=9000), never_idle.set_up(2, left=9000)
+        for _ in range(2):
+            await slow.next("INVITE")
+        for _ in range(2):  # a second time changes nothing
+            assert await world.console("PAUSE") == "+OK paused\n"
+        assert (await world.console("STATUS")).startswith("-ERR paused")
+        front = await world.caller()
+        front.say("ping", "00000000000000f0", cause=0)
+        assert (await front.next())["cause"] == 0
+        # What is open is served on, also what comes before its connection is closed.
+        late = busy.set_up(1)
+        assert (await busy.next(late))["type"] == "answer"
+        assert await idle.silent(LONG)  # closed, though a call that came over it stands
+        slow.act("answer", open_call)
+        assert (await busy.next(open_call))["type"] == "answer" and await busy.silent(LONG)
+        # One that is never without an open set-up is closed all the same, and its callers are told.
+        assert (await never_idle.next(long_call))["type"] == "release" and await never_idle.silent(LONG)
+        # The end of a call is owed until callers come back. Guards against telling it to the front: a test
+        # that is answered with anything but a pong has failed, and nobody would ever come.
+        switch.bye(standing)
+        await asyncio.sleep(0.2)
+        assert (await world.console("RESUME")).startswith("+OK serving")
+        front = await world.caller()
+        front.say("ping", "00000000000000f1", cause=0)
+        pong = await front.next()
+        assert (pong["type"], pong["cause"]) == ("pong", 1)
+        back = await world.caller()
+        call = back.set_up(1)
+        assert (await back.next(standing))["type"] == "release"
+        assert (await back.next(call))["type"] == "answer" and await back.silent(0.8)
+
+
+@program
+async def test_paused_the_last_callers_connection_is_kept_for_the_ends_of_calls():
+    # Guards against calls whose end is told seconds late, as every connection was closed at once.
+    switch = Switch("s-1", 1)
+    async with World(switch) as world:
+        caller = await world.caller()
+        call = caller.set_up(1)
+        await caller.next(call, "answer")
+        await world.console("PAUSE")
+        await asyncio.sleep(1.0)  # idle connections are closed from half a second on
+        switch.bye(call)
+        assert (await caller.next(call))["type"] == "release"
+        assert await caller.silent(LONG)  # closed, as nothing stands any more
