--- a/tansyspur/__main__.py
+++ b/tansyspur/__main__.py
@@ -11,6 +11,7 @@
 import socket
 import sys
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 from tansyspur import config as configuration
@@ -47,6 +48,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     switches: list[SipSwitch] = []
+    callers: Iax2Front | None = None
     bridge, rng = Bridge(), random.Random(config.seed)
     registrar = Registrar(config.iax2.peers if config.iax2 else {}, rng, log)
     endpoint = Endpoint(log, rng)
@@ -91,20 +93,32 @@
     channel.start()
 
     def reload() -> None:
-        """Take the new file, or keep to the old one; no call notices."""
+        """Take the new file whole, or keep to the old one; no call notices."""
+        nonlocal config
         try:
-            fresh = configuration.load(operator=operator)
+            fresh = configuration.load(operator=operator, like=config)
         except configuration.ConfigError as error:
+            gatekeeper.figures.bad_reloads += 1
             return log("error", "reload", f"the old configuration stays: {error}")
         later = [key for key in configuration.AT_START if getattr(fresh, key) != getattr(config, key)]
+        if (fresh.iax2 is None) is not (config.iax2 is None):
+            later.append("iax2")
         log(
             "notice",
             "reload",
             "configuration read",
             channel=fresh.channel,
+            classes=",".join(kind.name for kind in fresh.settings.classes),
             **({"at_next_start": ",".join(later)} if later else {}),
         )
+        config = replace(fresh, **{key: getattr(config, key) for key in later})
+        gatekeeper.figures.reloads += 1
         log.set_level(fresh.syslog.level)
+        gatekeeper.retune(fresh.settings)
+        for switch in switches:
+            switch.dial_timeout_s = fresh.dial_timeout_s
+        if callers and fresh.iax2:
+            callers.set_numbers(fresh.iax2.numbers)
         channel.move(fresh.channel)
 
     loop.add_signal_handler(signal.SIGHUP, reload)
--- a/tansyspur/config.py
+++ b/tansyspur/config.py
@@ -1,6 +1,7 @@
 """The one place where configuration is read, checked and given defaults; messages name the faulty key."""
 
 import json
+import math
 import os
 import tomllib
 from collections.abc import Mapping
@@ -16,8 +17,8 @@
 RELEASE_MARGIN_NS = 70_000_000  # added to the rule's wait: a limit that is 50 ms longer, and a send's way
 
 
-# What a reload leaves as it is: sockets, calls and the module are bound to these from the start.
-AT_START = ("name", "listen", "console", "settings", "limits", "peer_listen", "peers", "peers_all", "iax2")
+# What a reload leaves as it is: sockets and budget are bound to these from the start.
+AT_START = ("name", "listen", "console", "limits", "peer_listen", "peers", "peers_all")
 
 
 class ConfigError(Exception):
@@ -74,6 +75,7 @@
     dial_timeout_s: float = 0.5
     syslog: SyslogConfig = SyslogConfig()
     iax2: Iax2Config | None = None
+    document: Mapping[str, Any] = field(default_factory=dict, repr=False)  # as it was read
 
     @property
     def longest_deadline_s(self) -> float:
@@ -112,7 +114,49 @@
     return default if not value else value / 1e9
 
 
-def load(environment: Mapping[str, str] = os.environ, operator: str | None = None) -> Config:
+def whole_as(found: Mapping[str, Any], like: Mapping[str, Any], where: str = "") -> None:
+    """Guards against a file that lost a part on its way: what the running configuration has must be there."""
+    for key, value in like.items():
+        if key not in found:
+            raise ConfigError(f"{where}{key}: missing, though the running configuration has it")
+        if isinstance(value, dict) and where + key != "known":
+            whole_as(typed(found, key, dict, {}, where), value, f"{where}{key}.")
+    shared = [set(row) for row in like.get("classes", ()) if where == "settings."]
+    for index, row in enumerate(found["classes"] if shared else ()):
+        for key in sorted(set.intersection(*shared)):
+            if key not in row:
+                raise ConfigError(f"settings.classes[{index}].{key}: missing")
+
+
+def above_zero(found: Mapping[str, Any], key: str, where: str) -> None:
+    value = found.get(key, 1)
+    number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not number or not math.isfinite(value) or value <= 0:
+        raise ConfigError(f"{where}{key}: expected a number above 0, not {value!r}")
+
+
+def check_settings(profile: Mapping[str, Any]) -> None:
+    """The figures that the decisions divide by, count with, or wait for."""
+    above_zero(typed(profile, "limits", dict, {}, "settings."), "max-attempts", "settings.limits.")
+    for index, row in enumerate(typed(profile, "classes", list, [], "settings.")):
+        where = f"settings.classes[{index}]"
+        if not isinstance(row, dict):
+            raise ConfigError(f"{where}: expected an object")
+        for key in ("deadline-ns", "objective-ns", "value"):
+            above_zero(row, key, f"{where}.")
+    family = typed(profile, "family-info", dict, {}, "settings.")
+    for key in ("class-hold-ns", "channels-needed"):
+        for value in typed(family, key, list, [], "settings.family-info."):
+            if value:  # 0 or null: not told
+                above_zero({key: value}, key, "settings.family-info.")
+
+
+def load(
+    environment: Mapping[str, str] = os.environ,
+    operator: str | None = None,
+    like: Config | None = None,
+) -> Config:
+    """The configuration; a later one must have all that the running one, `like`, was read from."""
     path = environment.get("ROUTER_CONFIG")
     found = read_json(path) if path else {}
     name = environment.get("ROUTER_NAME") or found.get("name")
@@ -122,6 +166,9 @@
     profile = typed(found, "settings", dict, None)
     if profile is None:
         raise ConfigError("settings: missing from ROUTER_CONFIG")
+    check_settings(profile)
+    if like:
+        whole_as(found, like.document)
     try:
         settings = parse_settings(profile)
     except (WireError, ValueError, TypeError) as error:
@@ -160,6 +207,7 @@
         dial_timeout_s=seconds(wire_limits, "dial-timeout-ns", 0.5),
         syslog=syslog_config(typed(operated, "syslog", dict, {})),
         iax2=iax2_config(operated, name, settings, environment),
+        document=found,
     )
 
 
--- a/tansyspur/core/gatekeeper.py
+++ b/tansyspur/core/gatekeeper.py
@@ -11,11 +11,13 @@
 from tansyspur import interface as face
 from tansyspur.core import guard, ports
 from tansyspur.core.clock import Clock
+from tansyspur.core.figures import Figures, Verdict
 from tansyspur.core.ports import CallerLeft, CallerLeg, Ended, Listing, Offer, Stood, Switch
 from tansyspur.policy import Controller
 
 DEADLINE_MARGIN_MS = 10  # the final answer leaves this much before the caller stops waiting
 STALE_S = 1.0  # busy groups change sooner; at 50 ms the old state misled more calls than it helped
+CROSSING_S = 1.0  # so long after a change of settings callers may still go by the former ones
 MOST_CALLS = 20_000  # calls open at once; more are refused unheard
 
 Log = Callable[..., None]
@@ -43,6 +45,11 @@
         """For the front: the caller gave up or hung up."""
         self.signals.put_nowait(CallerLeft(cause))
 
+    def fail(self) -> None:
+        """The call cannot go on: its caller is told so."""
+        self.caller.fail(ports.TEMPORARY_FAILURE)
+        self.signals.put_nowait(CallerLeft(ports.TEMPORARY_FAILURE, failed=True))
+
 
 class Gatekeeper:
     def __init__(
@@ -54,6 +61,7 @@
         clock: Clock | None = None,
     ) -> None:
         self.settings = settings
+        self.former: face.Settings | None = None  # those before the last change, for a moment
         self.controller = Controller(settings, seed)
         self.make_switch = make_switch
         self.log = log
@@ -68,6 +76,8 @@
         self.call_ids = itertools.count(1)
         self.next_exchange_id = itertools.count(1)
         self.tasks: set[asyncio.Task[Any]] = set()
+        self.figures = Figures()
+        self.figures.know(kind.name for kind in settings.classes)
         self.started = False  # its switches are dialled; it has been told the list
         self.paused = False  # an operator has sent its callers elsewhere
         self.ending = False
@@ -104,18 +114,46 @@
             for tell in self.on_pause:
                 tell(paused)
 
+    # Its settings
+
+    def retune(self, settings: face.Settings) -> None:
+        """Other settings from now on, in one step. Who the program is, and where, stays as it started."""
+        former = self.settings
+        self.settings = replace(
+            settings,
+            shape=former.shape,
+            own_exchange=former.own_exchange,
+            ordinal=former.ordinal,
+            softswitches=former.softswitches,
+        )
+        self.former = former
+        self.figures.know(kind.name for kind in settings.classes)
+        asyncio.get_running_loop().call_later(CROSSING_S, self._forget_former, former)
+        self.consult(face.SettingsChanged(self.settings))
+
+    def _forget_former(self, former: face.Settings) -> None:
+        if self.former is former:
+            self.former = None
+
+    def _unusable(self, offer: Offer) -> str | None:
+        """Guards against failing what a caller sent before it knew of new settings."""
+        wrong = guard.unusable(self.settings, offer)
+        return wrong and guard.unusable(self.former, offer) if self.former else wrong
+
     # What fronts, switches, channel and peers tell
 
     def offer(self, offer: Offer, caller: CallerLeg) -> Call | None:
         """A call is offered; None if it was refused unheard."""
-        wrong = guard.unusable(self.settings, offer)
+        wrong = self._unusable(offer)
         if wrong:
             self.log("warning", "guard", f"a set-up with an unusable {wrong}", call=offer.wire_id)
             caller.fail(ports.INVALID_ELEMENT)
+            self.figures.ended(Verdict.FAILURE, offer.class_name)
             return None
         if len(self.calls) >= MOST_CALLS:
             self.log("warning", "overfull", "too many open calls", call=offer.wire_id)
             caller.refuse(ports.CONGESTION, self.settings.max_retry_advice_ns // 1_000_000)
+            self.figures.ended(Verdict.BUSY, offer.class_name)
             return None
         margin_ms = min(DEADLINE_MARGIN_MS, offer.left_ms / 10)
         expires_ns = self.clock.now_ns() + int((offer.left_ms - margin_ms) * 1e6)
@@ -178,6 +216,12 @@
         if report is not None and self.reports.get(exchange_id) is report:
             self._group_report(exchange_id, report)
 
+    def avoided(self) -> set[str]:
+        """The listed switches that the module keeps calls from at this moment."""
+        actions = self.controller.handle(self.clock.now_ns(), face.AvoidedAsked())
+        told = [action.exchange_ids for action in actions if isinstance(action, face.Avoided)]
+        return {self.names[one] for ids in told for one in ids if one in self.names}
+
     def peer_message(self, sender: int, data: bytes) -> None:
         self.consult(face.PeerMessage(sender, data))
 
@@ -231,6 +275,8 @@
             # The last guard of rule 1: whatever went wrong here, the caller gets an answer, and it is logged.
             end = call.caller.release if call.stands else call.caller.fail
             end(ports.TEMPORARY_FAILURE)
+            if not call.stands:
+                self.figures.ended(Verdict.FAILURE, call.offer.class_name)
             raise
         finally:
             self.calls.pop(call.call_id, None)
@@ -238,7 +284,9 @@
     async def _set_up(self, call: Call) -> ports.SwitchLeg | None:
         """Offered, decision, attempt, answer; the leg if the call stands, None if all is answered."""
         if not call.signals.empty():  # taken back in the same breath: the module need not know
-            self._record(call, "given up")
+            first = call.signals.get_nowait()
+            assert isinstance(first, CallerLeft)  # there is no attempt yet, and no decision
+            self._final(call, first)
             return None
         self.consult(self._offered(call))
         while True:
@@ -253,6 +301,7 @@
                 stands = face.CallStands(call.call_id, call.attempts - 1, order.exchange_id, elapsed_ns)
                 self.consult(stands)
                 if call.caller.answer(result.description):
+                    self.figures.ended(Verdict.SUCCESS, call.offer.class_name)
                     self._record(call, "stands", elapsed_ns)
                     return leg
                 # Guards against a call left standing at the switch when its caller went as the answer came.
@@ -261,7 +310,7 @@
             if isinstance(result, CallerLeft):
                 self._abandon(call)
                 self._attempt_over(call, Ended(face.Outcome.CANCELLED), final=True)
-                self._record(call, "given up", elapsed_ns)
+                self._final(call, result, elapsed_ns)
                 return None
             if result.outcome in NEEDS_RELEASE:
                 call.ready_ns = self.clock.now_ns() + self.settings.release_ns
@@ -310,7 +359,7 @@
             return None, Ended(face.Outcome.NO_ROUTE)
         wait_ms = max(1, (until_ns - decided_ns) // 1_000_000)
         request = ports.SetUpRequest(call.offer, call.attempts - 1, wait_ms)
-        leg = switch.place(request, may_send, call.signals.put_nowait)
+        leg = switch.place(request, may_send, self.figures.attempt_written, call.signals.put_nowait)
         result: Stood | Ended | CallerLeft = Ended(face.Outcome.TIMED_OUT)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout_at(self.clock.loop_time(until_ns)):
@@ -402,19 +451,23 @@
                 call.sent_ns = self.clock.now_ns()
                 self._attempt_over(call, Ended(face.Outcome.NOT_SENT), final=True)
 
-    def _final(self, call: Call, order: Order | CallerLeft) -> None:
+    def _final(self, call: Call, order: Order | CallerLeft, elapsed_ns: int = 0) -> None:
         """The final answer, unless the caller has left."""
         match order:
             case face.Refuse(_, retry_in_ns):
                 pressed = call.last_cause in PROCESSOR_CAUSES
                 cause = ports.CONGESTION if pressed else ports.NO_CIRCUIT
                 call.caller.refuse(cause, retry_in_ns // 1_000_000)
+                self.figures.ended(Verdict.BUSY, call.offer.class_name)
                 self._record(call, "refused")
             case face.Fail():
                 call.caller.fail(ports.TEMPORARY_FAILURE)
+                self.figures.ended(Verdict.FAILURE, call.offer.class_name)
                 self._record(call, "failed")
-            case CallerLeft():
-                self._record(call, "given up")
+            case CallerLeft(failed=failed):
+                if failed:
+                    self.figures.ended(Verdict.FAILURE, call.offer.class_name)
+                self._record(call, "failed" if failed else "given up", elapsed_ns)
 
     def _record(self, call: Call, what: str, elapsed_ns: int = 0, level: str = "info") -> None:
         self.log(
@@ -449,9 +502,7 @@
         left = [call for call in self.calls.values() if not (keep_standing and call.stands)]
         rest = [call.task for call in left if call.task]
         for call in left:
-            if not call.stands:
-                call.caller.fail(ports.TEMPORARY_FAILURE)
-            call.left(ports.TEMPORARY_FAILURE)
+            call.left(ports.TEMPORARY_FAILURE) if call.stands else call.fail()
         if rest:
             await asyncio.wait(rest, timeout=0.2)
 
--- a/tansyspur/core/ports.py
+++ b/tansyspur/core/ports.py
@@ -61,6 +61,7 @@
     """The caller gave the set-up up, or hung up a call that stood."""
 
     cause: int = NORMAL_CLEARING
+    failed: bool = False  # it did not leave by itself: its front failed the call
 
 
 SwitchSignal = Stood | Ended
@@ -93,9 +94,14 @@
     """One carrier switch."""
 
     def place(
-        self, request: SetUpRequest, may_send: Callable[[], bool], tell: Callable[[SwitchSignal], None]
+        self,
+        request: SetUpRequest,
+        may_send: Callable[[], bool],
+        written: Callable[[], None],
+        tell: Callable[[SwitchSignal], None],
     ) -> SwitchLeg:
-        """Start an attempt. may_send() is asked at the very write, which may be later than this call."""
+        """Start an attempt. may_send() is asked at the very write, which may be later than this call;
+        written() is called when the last byte has left."""
 
     def probe(self, tell: Callable[[face.Outcome, face.Report | None], None]) -> None: ...
 
--- a/tansyspur/iax2/back.py
+++ b/tansyspur/iax2/back.py
@@ -170,7 +170,11 @@
         self.loop.call_soon(self._report)
 
     def place(
-        self, order: SetUpRequest, may_send: Callable[[], bool], tell: Callable[[SwitchSignal], None]
+        self,
+        order: SetUpRequest,
+        may_send: Callable[[], bool],
+        written: Callable[[], None],
+        tell: Callable[[SwitchSignal], None],
     ) -> Attempt:
         attempt = Attempt(self, order, tell)
         self.attempts.add(attempt)
@@ -187,6 +191,7 @@
                 attempt.end(Ended(face.Outcome.NOT_SENT))
             else:
                 attempt.start(leg)
+                written()
                 self._report()
         return attempt
 
--- a/tansyspur/iax2/front.py
+++ b/tansyspur/iax2/front.py
@@ -57,10 +57,13 @@
             rng,
             log,
         )
-        self.numbers = sorted(numbers, key=lambda row: -len(row.prefix))
+        self.set_numbers(numbers)
         self.most_calls, self.guests = most_calls, guests
         self.calls: set[Caller] = set()
 
+    def set_numbers(self, numbers: tuple[NumberRow, ...]) -> None:
+        self.numbers = sorted(numbers, key=lambda row: -len(row.prefix))
+
     def on_new(self, leg: Leg, frame: FullFrame, elements: dict[int, bytes]) -> LegUser | None:
         if not frame.is_iax(Iax.NEW):
             user: LegUser = RegistrationLeg(self.registrar)
--- a/tansyspur/interface.py
+++ b/tansyspur/interface.py
@@ -184,13 +184,34 @@
     data: bytes
 
 
+@dataclass(slots=True, frozen=True)
+class SettingsChanged:
+    """From now on these hold. Shape, own exchange, ordinal and number of softswitches stay as they were."""
+
+    settings: Settings
+
+
+@dataclass(slots=True, frozen=True)
+class AvoidedAsked:
+    """Which exchanges get no calls now? The one action in answer is Avoided."""
+
+
 @dataclass(slots=True, frozen=True)
 class TimerDue:
     token: int
 
 
 Event = (
-    ExchangeList | CallOffered | CallStands | AttemptEnded | CallGone | GroupReport | PeerMessage | TimerDue
+    ExchangeList
+    | CallOffered
+    | CallStands
+    | AttemptEnded
+    | CallGone
+    | GroupReport
+    | PeerMessage
+    | SettingsChanged
+    | AvoidedAsked
+    | TimerDue
 )
 
 
@@ -240,9 +261,14 @@
     """Subscribe to changes of the exchange list."""
 
 
+@dataclass(slots=True, frozen=True)
+class Avoided:
+    exchange_ids: tuple[int, ...]
+
+
 @dataclass(slots=True, frozen=True)
 class Log:
     text: str
 
 
-Action = SetUp | Refuse | Fail | Recall | SetTimer | Probe | SendMessage | AskList | Log
+Action = SetUp | Refuse | Fail | Recall | SetTimer | Probe | SendMessage | AskList | Avoided | Log
--- a/tansyspur/net/console.py
+++ b/tansyspur/net/console.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import re
 from collections.abc import Callable
 
 from tansyspur.core.gatekeeper import Gatekeeper
@@ -11,10 +12,30 @@
 ANSWER_S = 2.0
 MOST_CALLERS = 32
 RETRY_S = 0.25
+PREFIX = "gatekeeper"
+NO_NAME = re.compile(r"[:|@#,;\s]")  # what would end a name, or a line
 
 Log = Callable[..., None]
 
 
+def statsd(gatekeeper: Gatekeeper) -> list[str]:
+    """The figures of this moment as statsd lines: counters (c) since the start, and gauges (g)."""
+    figures = gatekeeper.figures
+    counters: dict[str, int] = {}
+    for verdict, counts in figures.verdicts.items():
+        for class_name, count in counts.items():
+            counters[f"{verdict.value}.{NO_NAME.sub('_', class_name)}"] = count
+    counters["backend_calls"] = figures.attempts
+    counters["reconfig_ok"], counters["reconfig_failed"] = figures.reloads, figures.bad_reloads
+    gauges = {
+        "inflight": len(gatekeeper.calls),
+        "hosts_listed": len(gatekeeper.listed),
+        "hosts_down": len(gatekeeper.avoided()),
+    }
+    lines = [f"{PREFIX}.{name}:{value}|c" for name, value in counters.items()]
+    return lines + [f"{PREFIX}.{name}:{value}|g" for name, value in gauges.items()]
+
+
 class Console:
     def __init__(self, gatekeeper: Gatekeeper, log: Log) -> None:
         self.gatekeeper, self.log = gatekeeper, log
@@ -22,6 +43,7 @@
         self.server: asyncio.Server | None = None
         self.calls = {
             "STATUS": self._status,
+            "METRICS": self._metrics,
             "PAUSE": self._pause,
             "RESUME": self._resume,
         }
@@ -72,6 +94,9 @@
         state = self.gatekeeper.service
         return f"{'+OK' if self.gatekeeper.ready else '-ERR'} {state}\n"
 
+    def _metrics(self) -> str:
+        return "\n".join(["+OK", *statsd(self.gatekeeper), ".", ""])
+
     def _pause(self) -> str:
         if self.gatekeeper.ending:
             return "-ERR this process is ending\n"
--- a/tansyspur/net/jsonlines.py
+++ b/tansyspur/net/jsonlines.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from tansyspur.core.figures import Verdict
 from tansyspur.core.gatekeeper import Call, Gatekeeper
 from tansyspur.core.ports import INVALID_ELEMENT, NORMAL_CLEARING, TEMPORARY_FAILURE, Offer
 from tansyspur.net.framing import Chunks, FramingError
@@ -343,9 +344,7 @@
         self.log("warning", "front", f"connection dropped: {reason}")
         open_legs = [leg for leg in self.legs.values() if leg.link is link and not leg.stands]
         for leg in open_legs:
-            leg.fail(TEMPORARY_FAILURE)
-            if leg.call:
-                leg.call.left()
+            leg.call.fail() if leg.call else leg.fail(TEMPORARY_FAILURE)
         return bool(open_legs)
 
     def _make_room(self) -> bool:
@@ -408,6 +407,9 @@
         except BadSetUp as error:
             self.log("warning", "front", f"a set-up with an unusable {error} was failed", call=wire_id)
             self._over(wire_id)
+            fields = row.get("fields")
+            class_name = fields.get("class") if isinstance(fields, dict) else None
+            self.gatekeeper.figures.ended(Verdict.FAILURE, str(class_name))
             return link.write(line("release", wire_id, cause=INVALID_ELEMENT))
         self.asked.add(link)
         self._pay(link)
--- a/tansyspur/net/link.py
+++ b/tansyspur/net/link.py
@@ -26,6 +26,8 @@
         self.closed = False
         self.heard_at = self.opened_at = self.loop.time()
         self.stall_timer: asyncio.TimerHandle | None = None
+        self.waits: set[asyncio.Task[None]] = set()
+        writer.transport.set_write_buffer_limits(high=0)  # drain() waits for the last byte
         sock = writer.get_extra_info("socket")
         if sock is not None:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER)
@@ -84,15 +86,29 @@
     def unsent(self) -> int:
         return 0 if self.closed else self.writer.transport.get_write_buffer_size()
 
-    def write(self, data: bytes) -> None:
+    def write(self, data: bytes, written: Callable[[], None] | None = None) -> None:
+        """Written or dropped; written() is called once the last byte has left."""
         if self.closed or self.writer.transport.is_closing():
             return
         self.writer.write(data)
+        if written and not self.unsent:
+            written()
+        elif written:
+            waits = self.loop.create_task(self._when_written(written))
+            self.waits.add(waits)
+            waits.add_done_callback(self.waits.discard)
         if self.unsent > MOST_UNSENT:
             self.abort()
         elif self.unsent and self.stall_timer is None:
             self.stall_timer = self.loop.call_later(STALL_S, self._stalled)
 
+    async def _when_written(self, written: Callable[[], None]) -> None:
+        with contextlib.suppress(OSError):  # it ended first
+            await self.writer.drain()
+            # Guards against counting what was dropped: an aborted connection ends the wait without error.
+            if not self.writer.transport.is_closing():
+                written()
+
     def _stalled(self) -> None:
         self.stall_timer = None
         if self.unsent:
--- a/tansyspur/net/sip.py
+++ b/tansyspur/net/sip.py
@@ -144,9 +144,11 @@
         switch: "SipSwitch",
         order: SetUpRequest,
         may_send: Callable[[], bool],
+        written: Callable[[], None],
         tell: Callable[[SwitchSignal], None],
     ) -> None:
         self.switch, self.order, self.may_send, self._tell = switch, order, may_send, tell
+        self.written = written
         self.call_id = order.offer.wire_id
         self.link: Link | None = None  # that of its set-up
         self.sent_at, self.sent_ns = 0.0, 0
@@ -173,7 +175,8 @@
         self.link, self.sent_at, self.sent_ns = link, self.switch.loop.time(), time.time_ns()
         body = offer.description.encode("utf-8", "surrogateescape")
         headers = (f"X-Service: {offer.class_name}", f"X-Setup-Ms: {wait_ms}")
-        link.write(request("INVITE", offer.number, self.call_id, INVITE_CSEQ, *headers, body=body))
+        invite = request("INVITE", offer.number, self.call_id, INVITE_CSEQ, *headers, body=body)
+        link.write(invite, self.written)
 
     def no_route(self) -> None:
         self.switch.forget(self)
@@ -233,9 +236,13 @@
     # What the core asks
 
     def place(
-        self, order: SetUpRequest, may_send: Callable[[], bool], tell: Callable[[SwitchSignal], None]
+        self,
+        order: SetUpRequest,
+        may_send: Callable[[], bool],
+        written: Callable[[], None],
+        tell: Callable[[SwitchSignal], None],
     ) -> SipLeg:
-        leg = SipLeg(self, order, may_send, tell)
+        leg = SipLeg(self, order, may_send, written, tell)
         self.legs[leg.call_id] = leg
         self.byes.pop(leg.call_id, None)  # it would release this attempt in place of the one before
         self.given_up.pop(leg.call_id, None)
--- a/tansyspur/policy.py
+++ b/tansyspur/policy.py
@@ -114,13 +114,8 @@
     """The decisions of one softswitch. handle() is its only way in; it has no clock and does no I/O."""
 
     def __init__(self, settings: face.Settings, seed: int) -> None:
-        self.settings = settings
         self.mesh = settings.shape == "mesh"
         self.random = random.Random(seed)
-        self.classes = {kind.name: kind for kind in settings.classes}
-        # A class that the settings do not name is served as the least worthy, and never repeated.
-        least = min(settings.classes, key=lambda kind: kind.worth)
-        self.unknown = replace(least, effect=Effect.AT_MOST_ONCE, pools=())
         self.calls: dict[int, Call] = {}
         self.neighbours: dict[int, Neighbour] = {}
         self.numbers: dict[int, int] = {}  # exchange id to number
@@ -132,13 +127,8 @@
         self.refused: dict[str, int] = {}  # numbers of refused calls, and when they were first tried
         self.held_timer = False
         self.losing = 0.0  # share of the slow set-ups of late whose answer never came
-        limit_ns = PRESSED_SHARE * min(kind.aim_ns for kind in settings.classes)
-        self.limit_ns = min(limit_ns, settings.resend_ns or limit_ns)
-        self.fades_ns = (
-            DELAY_FADES * limit_ns
-        )  # aims may be short: a slow answer must not outlast them by far
-        self.own = Line(self.fades_ns, window=FIRST_OWN)  # the own processor, by all set-ups
-        self.top_worth = max(kind.worth for kind in settings.classes)
+        self.own = Line(0.0, window=FIRST_OWN)  # the own processor, by all set-ups
+        self._settle(settings)
         self.now = 0
         self.actions: list[face.Action] = []
         self.handlers = {
@@ -149,6 +139,8 @@
             face.ExchangeList: self._list,
             face.CallGone: lambda event: self._forget(event.call_id),
             face.PeerMessage: self._message,
+            face.SettingsChanged: lambda event: self._settle(event.settings),
+            face.AvoidedAsked: self._avoided,
             face.TimerDue: self._timer,
         }
 
@@ -157,6 +149,22 @@
         self.handlers[type(event)](event)
         return self.actions
 
+    def _settle(self, settings: face.Settings) -> None:
+        """All that follows from the settings, at the start and when they change. A call keeps its class."""
+        self.settings = settings
+        self.classes = {kind.name: kind for kind in settings.classes}
+        # A class that the settings do not name is served as the least worthy, and never repeated.
+        least = min(settings.classes, key=lambda kind: kind.worth)
+        self.unknown = replace(least, effect=Effect.AT_MOST_ONCE, pools=())
+        self.top_worth = max(kind.worth for kind in settings.classes)
+        limit_ns = PRESSED_SHARE * min(kind.aim_ns for kind in settings.classes)
+        self.limit_ns = min(limit_ns, settings.resend_ns or limit_ns)
+        self.fades_ns = (
+            DELAY_FADES * limit_ns
+        )  # aims may be short: a slow answer must not outlast them by far
+        for line in (self.own, *(neighbour.line for neighbour in self.neighbours.values())):
+            line.fades_ns = self.fades_ns
+
     # Routes
 
     def _offered(self, offer: face.CallOffered) -> None:
@@ -229,7 +237,7 @@
 
     def _limit(self, call: Call) -> float:
         """Set-up delay up to which an exchange takes this call: processors are kept for what earns most."""
-        share = LEAST_LIMIT + (1 - LEAST_LIMIT) * call.kind.worth / self.top_worth
+        share = LEAST_LIMIT + (1 - LEAST_LIMIT) * min(1.0, call.kind.worth / self.top_worth)
         if self._late(call) == 1:
             return self.limit_ns * share
         idle_ns = IDLE_DELAYS * self.neighbours[call.offer.destination].line.least_ns
@@ -468,6 +476,16 @@
             if self._cold(exchange) and (known is None or known.started_ns != exchange.started_ns):
                 neighbour.next_cold_ns = self.now + int(self.random.random() * self._cold_gap_ns())
 
+    def _avoided(self, _: face.AvoidedAsked) -> None:
+        """Those that drain, and those whose processor no call is sent to, however much it is worth."""
+        exchange_ids = tuple(
+            exchange.exchange_id
+            for number, neighbour in self.neighbours.items()
+            for exchange in neighbour.exchanges.values()
+            if exchange is not neighbour.serving() or self._pressure(number) >= self.limit_ns
+        )
+        self.actions.append(face.Avoided(exchange_ids))
+
     # Fill reports
 
     def _timer(self, event: face.TimerDue) -> None:
--- a/tansyspur/translate.py
+++ b/tansyspur/translate.py
@@ -57,8 +57,8 @@
     return face.CallClass(
         name=take(row, "name", str),
         worth=row.get("value", 1.0),
-        aim_ns=take(row, "objective-ns"),
-        deadline_ns=take(row, "deadline-ns"),
+        aim_ns=int(take(row, "objective-ns", (int, float))),
+        deadline_ns=int(take(row, "deadline-ns", (int, float))),
         late_worth=row.get("late-worth", 0.0),
         hold_ns=_at(family.get("class-hold-ns"), index, None) or 0,
         circuits=_at(family.get("channels-needed"), index, None) or 1,
--- a/tests/test_iax2.py
+++ b/tests/test_iax2.py
@@ -1,6 +1,7 @@
 """The second front, IAX2, with a stand-in peer; the operator's file turns it on."""
 
 import asyncio
+import copy
 import itertools
 import re
 import signal
@@ -408,3 +409,29 @@
         await world.logged("the predecessor has gone")
         await world.logged(rf"tansyspur {world.process.pid} start .*listening for IAX2")
         assert (await world.call().final())[:2] == ANSWERED
+
+
+@program
+async def test_new_settings_hold_for_callers_by_iax2():
+    switch = Switch("s-2", 2)
+    async with Iax2World(switch) as world:
+        await world.call("22").next(ANSWERED)
+        assert int((await switch.next("INVITE"))[2]["x-setup-ms"]) > 2000
+        changed = copy.deepcopy(world.settings)
+        changed["classes"][1]["deadline-ns"] = 2_000_000_000
+        world.reload(settings=changed)
+        await world.logged("configuration read")
+        await world.call("22").next(ANSWERED)
+        assert int((await switch.next("INVITE"))[2]["x-setup-ms"]) <= 2000
+
+
+@program
+async def test_the_figures_count_calls_by_iax2_from_either_side():
+    far = Iax2Peer(plan=["answer", "42"], secret=SECRET)
+    async with Iax2World(Switch("s-1", 1), far=far) as world:
+        assert (await world.call("2105").final())[:2] == ANSWERED
+        caller = await world.caller()
+        assert (await caller.next(caller.set_up(1, left=1500)))["type"] == "release"
+        lines = (await world.console("METRICS")).split("\n")
+        for figure in ("success.lookup:1|c", "busy.lookup:1|c", "backend_calls:2|c", "inflight:1|g"):
+            assert f"gatekeeper.{figure}" in lines
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -1,6 +1,10 @@
 """What staff and platform do to a gatekeeper in service: replace, pause, retune and ask it."""
 
 import asyncio
+import contextlib
+import copy
+import json
+import re
 import signal
 import socket
 from pathlib import Path
@@ -8,7 +12,7 @@
 import pytest
 
 from tests.test_program import program
-from tests.world import LONG, Switch, World
+from tests.world import LONG, S, Switch, World
 
 
 async def over(process):
@@ -174,3 +178,194 @@
         switch.bye(call)
         assert (await caller.next(call))["type"] == "release"
         assert await caller.silent(LONG)  # closed, as nothing stands any more
+
+
+def without(*path):
+    """The document less one key; numbers stand for places in a list."""
+
+    def spoil(document):
+        *way, last = path
+        for step in way:
+            document = document[step]
+        del document[last]
+
+    return spoil
+
+
+def with_value(value, *path):
+    def spoil(document):
+        *way, last = path
+        for step in way:
+            document = document[step]
+        document[last] = value
+
+    return spoil
+
+
+DEADLINE = ("settings", "classes", 1, "deadline-ns")
+ATTEMPTS = ("settings", "limits", "max-attempts")
+SPOILT = [
+    without("channel"), without("known"), without("limits", "sockets"), without("settings"),
+    without("settings", "guarantees"), without("settings", "guarantees", "ramp-time-ns"),
+    without("settings", "classes"), without(*DEADLINE), without(*ATTEMPTS),
+    *(with_value(value, *DEADLINE) for value in (0, -1, "9", None, True, [], float("nan"), float("inf"))),
+    *(with_value(value, *ATTEMPTS) for value in (0, -1, "9", None, False, {}, float("nan"), float("inf"))),
+    with_value(5, "settings", "classes"), with_value([], "settings", "classes"), with_value(3, "settings"),
+    with_value([7], "settings", "classes"),
+]  # fmt: skip
+
+
+@program
+async def test_a_file_that_lost_a_part_or_holds_no_usable_figure_is_turned_down_whole():
+    # Guards against taking part of a file: a channel that moved with it would never be heard of again.
+    switch = Switch("s-1", 1)
+    async with World(switch) as world:
+        texts = ["", " ", "{}", "[]", "null", json.dumps(world.document)[:-40]]
+        for spoil in SPOILT:
+            document = copy.deepcopy(world.document) | {"channel": "127.0.0.1:9"}
+            spoil(document)
+            texts.append(json.dumps(document))
+        for count, text in enumerate(texts, 1):
+            world.reload(text)
+            await world.logged("the old configuration stays", count)
+        caller = await world.caller()
+        assert (await caller.next(caller.set_up(1)))["type"] == "answer"
+        assert not [line for line in world.lines if "configuration read" in line]
+        world.reload()
+        await world.logged("configuration read")
+        later = await world.add(Switch("s-2", 2))
+        world.channel.event(later.entry())
+        async with asyncio.timeout(LONG):
+            while (await caller.next(caller.set_up(2)))["type"] != "answer":
+                await asyncio.sleep(0.05)
+
+
+@program
+async def test_new_settings_hold_at_once_and_a_call_under_way_keeps_its_class():
+    switch, slow = Switch("s-1", 1), Switch("s-2", 2, plan=["silent"])
+    failing = Switch("s-3", 3, plan=["500"])
+    async with World(switch, slow, failing) as world:
+        caller = await world.caller()
+        assert (await caller.next(caller.set_up(1, **{"class": "survey"})))["cause"] == 100
+        assert (await caller.next(caller.set_up(3)))["type"] == "release"
+        tries = failing.count("INVITE")
+        assert tries > 1
+        under_way = caller.set_up(2, left=9000)
+        await slow.next("INVITE", under_way)
+        changed = copy.deepcopy(world.settings)
+        survey = {**changed["classes"][1], "name": "survey", "deadline-ns": 2 * S, "effect": "at_most_once"}
+        changed["classes"] = [changed["classes"][1], survey]
+        changed["limits"]["max-attempts"] = 1
+        world.reload(settings=changed)
+        await world.logged("configuration read")
+        call = caller.set_up(1, left=1500, **{"class": "survey"})
+        assert (await caller.next(call))["type"] == "answer"
+        assert (await switch.next("INVITE", call))[2]["x-service"] == "survey"
+        assert (await caller.next(caller.set_up(1, left=2500, **{"class": "survey"})))["cause"] == 100
+        # One that crossed the change is served still, under the new number of attempts.
+        crossing = caller.set_up(3)
+        assert (await caller.next(crossing))["cause"] != 100
+        assert failing.count("INVITE") <= tries + 1
+        await asyncio.sleep(1.1)
+        assert (await caller.next(caller.set_up(1)))["cause"] == 100  # its class has gone
+        slow.act("answer", under_way)
+        assert (await caller.next(under_way))["type"] == "answer"
+
+
+async def figures(world):
+    answer = (await world.console("METRICS")).split("\n")
+    assert answer[0] == "+OK" and answer[-2:] == [".", ""]
+    rows = [re.fullmatch(r"gatekeeper\.([!-~]+):([0-9]+)\|([cg])", line) for line in answer[1:-2]]
+    assert all(rows) and len({row[1] for row in rows}) == len(rows)
+    return {row[1]: int(row[2]) for row in rows}
+
+
+@program
+async def test_each_event_is_counted_once_and_unknown_classes_make_no_names():
+    switch, slow = Switch("s-1", 1), Switch("s-2", 2, plan=["silent"])
+    failing, gone = Switch("s-3", 3, plan=["504"]), Switch("s-4", 4)
+    async with World(switch, slow, failing, gone) as world:
+        start = await figures(world)
+        assert start == {name: 5 if name == "hosts_listed" else 0 for name in start}
+        assert {"success.lookup", "busy.fix", "failure.fix", "hosts_down", "inflight"} <= set(start)
+        caller, other, third = [await world.caller() for _ in range(3)]
+        standing, over = caller.set_up(1), caller.set_up(1)
+        for call in (standing, over):
+            await caller.next(call, "answer")
+        switch.bye(over)
+        await caller.next(over, "release")
+        refused = caller.set_up(3, left=1500, **{"class": "fix"})
+        assert (await caller.next(refused))["cause"] in (34, 42)
+        for fields in ({"left": "0"}, {"left": "x"}, {"class": "made up"}):
+            assert (await caller.next(caller.set_up(1, **fields)))["cause"] == 100
+        # Two whose connection says what cannot be read are failed; one whose caller leaves is no failure.
+        for call in [other.set_up(2), other.set_up(2)]:
+            await slow.next("INVITE", call)
+        other.writer.write(b"?\n")
+        await world.logged("connection dropped: a line that is not JSON")
+        await slow.next("INVITE", third.set_up(2))
+        third.close()
+        waiting = caller.set_up(2, left=9000)
+        await slow.next("INVITE", waiting)
+        world.channel.event(gone.entry("draining"))
+        world.reload("")
+        await world.logged("the old configuration stays")
+        changed = copy.deepcopy(world.settings)
+        changed["classes"][0]["name"] = "survey"
+        world.reload(settings=changed)
+        await world.logged("configuration read")
+        async with asyncio.timeout(LONG):
+            while (now := await figures(world))["inflight"] != 2 or not now["hosts_down"]:
+                await asyncio.sleep(0.05)
+        sent = sum(one.count("INVITE") for one in world.switches)
+        assert {name: value for name, value in now.items() if value} == {
+            "success.lookup": 2, "busy.fix": 1, "failure.lookup": 4, "backend_calls": sent, "inflight": 2,
+            "hosts_listed": 5, "hosts_down": 1, "reconfig_ok": 1, "reconfig_failed": 1,
+        }  # fmt: skip
+        assert "success.survey" in now and not [name for name in now if "made" in name]
+        slow.act("answer", waiting)
+        assert (await caller.next(waiting))["type"] == "answer"  # its class has gone, and keeps its count
+        assert (await figures(world))["success.lookup"] == 3
+
+
+@program
+async def test_an_attempt_counts_when_its_last_byte_has_left():
+    # Guards against counting a set-up that is dropped in the buffer of a stalled connection.
+    switch = Switch("s-1", 1)
+    async with World(switch) as world:
+        caller = await world.caller()
+        for writer in switch.writers:
+            writer.transport.pause_reading()
+        call = caller.set_up(1, left=600, sdp="x" * 15_000)  # no time for a second attempt
+        assert (await caller.next(call))["type"] == "release"
+        assert (await figures(world))["backend_calls"] == 0
+        for writer in switch.writers:
+            with contextlib.suppress(RuntimeError):
+                writer.transport.resume_reading()
+
+
+@pytest.mark.parametrize(
+    "call, start",
+    [
+        (b"STATUS\r\n", "+OK serving"), (b"status", "+OK serving"), (b"RESUME\n", "+OK serving"),
+        (b"STOP\n", "-ERR"), (b"\n", "-ERR"), (b"\xff\xfe\n", "-ERR"), (b"X" * 5000, "-ERR"),
+        (b"STATUS\nPAUSE\n", "+OK serving"),
+    ],
+    ids=range(8),
+)  # fmt: skip
+@program
+async def test_the_console_answers_one_line_whatever_others_do(call, start):
+    # Guards against silent callers, and a crowd at the client port, that keep the staff from an answer.
+    async with World(Switch("s-1", 1), limits={"memory_mb": 192, "sockets": 200}) as world:
+        crowd = [await world.caller() for _ in range(150)]
+        silent = [await asyncio.open_connection("127.0.0.1", world.console_port) for _ in range(50)]
+        reader, writer = await asyncio.open_connection("127.0.0.1", world.console_port)
+        writer.write(call)
+        if not call.endswith(b"\n"):
+            writer.write_eof()
+        async with asyncio.timeout(LONG):
+            answer = (await reader.read()).decode()
+        assert answer.startswith(start) and answer.count("\n") == 1
+        assert (await world.console("STATUS")).startswith("+OK")
+        for one in (writer, *(one for _, one in silent), *(one.writer for one in crowd)):
+            one.close()
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -599,3 +599,15 @@
     assert sends(desk.call(100, 2, redial=True)) == [102]
     desk.now += 80 * MS
     assert sends(desk.call(101, 2, redial=True)) == []
+
+
+def test_changed_settings_hold_at_once_for_all_but_the_class_of_a_call_under_way(desk):
+    desk.call(1, 2)
+    assert not of_kind(desk.ended(1, 2, face.Outcome.CUT), face.SetUp)  # waits for its release
+    survey = face.CallClass("survey", worth=4.0, aim_ns=S, deadline_ns=2 * S, effect=face.Effect.AT_MOST_ONCE)
+    desk.feed(face.SettingsChanged(settings(classes=(survey,), max_attempts=1)))
+    (refusal,) = of_kind(desk.later(400 * MS, [2]), face.Refuse)  # no second attempt, though 4 were allowed
+    assert refusal.call_id == 1  # and of its old class, which may be refused after an attempt
+    assert of_kind(desk.call(2, 2, class_name="survey"), face.SetUp)
+    assert of_kind(desk.ended(2, 2, face.Outcome.CUT), face.Fail)  # what may have run must not be repeated
+    assert all(line.line.fades_ns == desk.controller.fades_ns for line in desk.controller.neighbours.values())
--- a/tests/world.py
+++ b/tests/world.py
@@ -303,8 +303,8 @@
                 await asyncio.sleep(0.05)
         return answer
 
-    def reload(self, **changed):
-        self.config.write_text(json.dumps(self.document | changed))
+    def reload(self, text=None, **changed):
+        self.config.write_text(json.dumps(self.document | changed) if text is None else text)
         self.process.send_signal(signal.SIGHUP)
 
     async def add(self, switch, port=0):
@@ -330,9 +330,9 @@
     async def caller(self):
         return await Caller().connect(self.port)
 
-    async def logged(self, pattern):
+    async def logged(self, pattern, times=1):
         async with asyncio.timeout(LONG):
-            while not any(re.search(pattern, line) for line in self.lines):
+            while sum(1 for line in self.lines if re.search(pattern, line)) < times:
                 await asyncio.sleep(0.02)
 
     async def stop(self):
