--- a/tansyspur/__main__.py
+++ b/tansyspur/__main__.py
@@ -242,6 +242,8 @@
         endpoint.on_new = turn_away
         until = stopped + min(LONGEST_REPLACED_S, config.longest_deadline_s) + 0.7 - EXIT_MARGIN_S
         await gatekeeper.finish(until - loop.time(), keep_standing=True)
+        # Guards against set-ups that come, and go down with us, on a connection that was never without one.
+        front.send_off()
         # What stands goes on until its end, or until we are killed.
         over = [asyncio.ensure_future(wait) for wait in (gatekeeper.all_over(), successor.gone.wait())]
         await asyncio.wait(over, return_when=asyncio.FIRST_COMPLETED)
@@ -252,11 +254,11 @@
         endpoint.on_new = turn_away
         until = stopped + max(3.0, config.longest_deadline_s) + 0.7 - EXIT_MARGIN_S
         await gatekeeper.finish(until - loop.time())
-    front.close()
+    front.send_off()
     gatekeeper.close()
     peers.close()
     console.close()
-    await asyncio.sleep(0.05)  # the last releases leave
+    await asyncio.sleep(0.1)  # the last releases leave, and what crossed the close is dropped
     endpoint.close()
     return 0
 
--- a/tansyspur/net/jsonlines.py
+++ b/tansyspur/net/jsonlines.py
@@ -179,10 +179,6 @@
             self.server.close()
             self.server = None
 
-    def close(self) -> None:
-        for link in list(self.links):
-            link.writer.close()
-
     def limit(self, most_links: int) -> None:
         """So many connections from now on; those that are missed least are closed."""
         self.most_links = most_links
@@ -200,9 +196,9 @@
         if paused:
             self.keep_until = loop.time() + KEEP_LAST_S
             self.sweeper = loop.call_later(LOOKED_AWAY_S, self.send_away)
-            self.last_call = loop.call_later(LAST_CALL_S, self._send_off)
+            self.last_call = loop.call_later(LAST_CALL_S, self.send_off)
 
-    def _send_off(self) -> None:
+    def send_off(self) -> None:
         """Those that are never without an open set-up: fail what is open rather than keep them."""
         for link in list(self.links):
             if not link.closed:
@@ -225,9 +221,16 @@
             # What is new may still bring its first set-up, or ask whether we are ready.
             young = loop.time() - link.opened_at < YOUNG_S
             if link not in busy and not young and not (keep and link is self.kept):
-                link.leave()
+                # In the next turn, when what has been read of it has been taken.
+                loop.call_soon(self._leave_idle, link)
         self.sweeper = loop.call_later(SWEEP_S, self.send_away)
 
+    def _leave_idle(self, link: Link) -> None:
+        """Guards against closing on a set-up that has come and is not read yet."""
+        is_open = any(leg.link is link and not leg.stands for leg in self.legs.values())
+        if not is_open and not link.unread:
+            link.leave()
+
     def stop_sending_away(self) -> None:
         for timer in (self.sweeper, self.last_call):
             if timer:
--- a/tansyspur/net/link.py
+++ b/tansyspur/net/link.py
@@ -2,7 +2,10 @@
 
 import asyncio
 import contextlib
+import fcntl
 import socket
+import termios
+from array import array
 from collections.abc import Callable
 
 from tansyspur.net.framing import LONGEST, Chunks
@@ -86,6 +89,14 @@
     def unsent(self) -> int:
         return 0 if self.closed else self.writer.transport.get_write_buffer_size()
 
+    @property
+    def unread(self) -> int:
+        """Bytes that have come and that the loop has not read."""
+        waiting = array("i", [0])
+        with contextlib.suppress(OSError, ValueError):  # it is closed
+            fcntl.ioctl(self.writer.get_extra_info("socket").fileno(), termios.FIONREAD, waiting)
+        return waiting[0]
+
     def write(self, data: bytes, written: Callable[[], None] | None = None) -> None:
         """Written or dropped; written() is called once the last byte has left."""
         if self.closed or self.writer.transport.is_closing():
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -12,7 +12,7 @@
 import pytest
 
 from tests.test_program import program
-from tests.world import LONG, S, Switch, World
+from tests.world import LONG, S, Switch, World, settings
 
 
 async def over(process):
@@ -62,6 +62,32 @@
         assert (await last.next(last.set_up(1)))["type"] == "answer"
 
 
+@program
+async def test_no_connection_outlives_the_time_for_answers_though_a_call_stands():
+    # Guards against set-ups that come to the old process on a connection that is never idle, and die with it.
+    switch, slow = Switch("s-1", 1), Switch("s-2", 2, plan=["silent"])
+    made = settings()
+    for kind in made["classes"]:
+        kind["deadline-ns"] = 2 * S
+    async with World(switch, slow, classes=made["classes"]) as world:
+        caller, busy = await world.caller(), await world.caller()
+        standing = caller.set_up(1, left=1500)
+        await caller.next(standing, "answer")
+        old = await world.replace()
+        open_call = busy.set_up(2, left=2000)
+        await slow.next("INVITE", open_call)
+        old.send_signal(signal.SIGTERM)
+        answers = asyncio.create_task(busy.reader.read())
+        async with asyncio.timeout(LONG):
+            while not answers.done():  # as soon as one is answered, another is open
+                busy.set_up(2, left=2000)
+                await asyncio.sleep(0.005)
+        assert open_call in {json.loads(line)["id"] for line in answers.result().splitlines()}
+        assert old.returncode is None  # it lives on for the call that stands
+        newcomer = await world.caller()
+        assert (await newcomer.next(newcomer.set_up(1, left=1500)))["type"] == "answer"
+
+
 @program
 async def test_peers_are_heard_and_written_to_by_the_one_that_serves():
     async with World(Switch("s-1", 1)) as world:
