--- a/tansyspur/__main__.py
+++ b/tansyspur/__main__.py
@@ -101,7 +101,7 @@
             gatekeeper.figures.bad_reloads += 1
             return log("error", "reload", f"the old configuration stays: {error}")
         later = [key for key in configuration.AT_START if getattr(fresh, key) != getattr(config, key)]
-        if (fresh.iax2 is None) is not (config.iax2 is None):
+        if configuration.beside_numbers(fresh.iax2) != configuration.beside_numbers(config.iax2):
             later.append("iax2")
         log(
             "notice",
@@ -111,7 +111,8 @@
             classes=",".join(kind.name for kind in fresh.settings.classes),
             **({"at_next_start": ",".join(later)} if later else {}),
         )
-        config = replace(fresh, **{key: getattr(config, key) for key in later})
+        kept = {key: getattr(config, key) for key in (*configuration.AT_START, "iax2")}
+        config = replace(fresh, **kept)
         gatekeeper.figures.reloads += 1
         log.set_level(fresh.syslog.level)
         gatekeeper.retune(fresh.settings)
@@ -196,6 +197,7 @@
             async with asyncio.timeout(CURRENT_S):
                 await channel.current.wait()
         await until_ready()
+        await gatekeeper.not_paused.wait()  # a process that sends callers away takes none over
         await serve_callers()
         predecessor.tell("serving")
         gatekeeper.started = True
--- a/tansyspur/config.py
+++ b/tansyspur/config.py
@@ -114,6 +114,11 @@
     return default if not value else value / 1e9
 
 
+def beside_numbers(iax2: Iax2Config | None) -> Iax2Config | None:
+    """What of IAX2 is bound at the start; the numbers may change at a reload."""
+    return iax2 and replace(iax2, numbers=())
+
+
 def whole_as(found: Mapping[str, Any], like: Mapping[str, Any], where: str = "") -> None:
     """Guards against a file that lost a part on its way: what the running configuration has must be there."""
     for key, value in like.items():
--- a/tansyspur/core/gatekeeper.py
+++ b/tansyspur/core/gatekeeper.py
@@ -81,6 +81,8 @@
         self.started = False  # its switches are dialled; it has been told the list
         self.paused = False  # an operator has sent its callers elsewhere
         self.ending = False
+        self.not_paused = asyncio.Event()
+        self.not_paused.set()
         self.on_pause: list[Callable[[bool], None]] = []  # fronts that send their callers away, or stop to
 
     # Whether it takes calls: one state, asked by every front and by the console
@@ -110,6 +112,7 @@
     def _set_paused(self, paused: bool) -> None:
         if self.paused is not paused:
             self.paused = paused
+            self.not_paused.clear() if paused else self.not_paused.set()
             self.log("notice", "service", self.service, calls=len(self.calls))
             for tell in self.on_pause:
                 tell(paused)
