Wire the parts in one class; end without a queue that nobody serves

Seen by reading the new code: __main__.serve had grown to 200 lines of nested functions; after SIGTERM without a successor the bound socket stayed open beside the closed copy, so connections still came up and waited for nobody; a new process that waits to take over heard neither SIGTERM nor the end of the old one; the socket in $TMPDIR was open to any user. At fault: jsonlines.stop_accepting (closes a copy), __main__ (take over). Now one class, one method a step; the socket is closed with the last accept; the wait ends with SIGTERM or the predecessor; mode 0600, and only one's own is asked.

--- a/tansyspur/__main__.py
+++ b/tansyspur/__main__.py
@@ -39,71 +39,211 @@
 READY_S = 1.5  # a switch that cannot be dialled must not keep the gatekeeper from its test for longer
 
 
-async def serve(config: configuration.Config, log: Syslog, operator: str | None) -> int:
-    loop = asyncio.get_running_loop()
-    loop.set_exception_handler(
-        lambda _, context: log("error", "loop", str(context.get("exception") or context["message"]))
-    )
-    stop = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    switches: list[SipSwitch] = []
-    callers: Iax2Front | None = None
-    bridge, rng = Bridge(), random.Random(config.seed)
-    registrar = Registrar(config.iax2.peers if config.iax2 else {}, rng, log)
-    endpoint = Endpoint(log, rng)
-
-    def make_switch(name: str, address: str, on_report: Callable[[face.Report], None]) -> Switch:
-        by_iax2 = config.iax2.switches.get(name) if config.iax2 else None
-        if config.iax2 and by_iax2:
+class Program:
+    """The parts, wired; and how they start, change, and end."""
+
+    def __init__(self, config: configuration.Config, log: Syslog, operator: str | None) -> None:
+        self.config, self.log, self.operator = config, log, operator
+        self.loop = asyncio.get_running_loop()
+        self.stop = asyncio.Event()
+        self.sip: list[SipSwitch] = []
+        self.bridge, self.rng = Bridge(), random.Random(config.seed)
+        self.registrar = Registrar(config.iax2.peers if config.iax2 else {}, self.rng, log)
+        self.endpoint = Endpoint(log, self.rng)
+        self.gatekeeper = Gatekeeper(config.settings, config.seed, self.make_switch, log)
+        self.console = Console(self.gatekeeper, log)
+        self.peers = Peers(list(config.peers), config.peers_all, self.gatekeeper.peer_message, log)
+        self.channel = Channel(config.channel, self.gatekeeper.list_changed, self.gatekeeper.spawn, log)
+        # Of the process before this one, as long as it lives, and for the one after it.
+        path = handover.place(config.name)
+        asked = handover.ask(path, log) if path else None
+        self.sockets, self.line = asked or ({}, None)
+        self.predecessor: Partner | None = None
+        self.handover = path and Handover(
+            path, self.sockets, self.from_successor, self.successor_changed, self.gatekeeper.spawn, log
+        )
+        if "callers" not in self.sockets:
+            self.sockets["callers"] = handover.listener(*config.listen)
+        if config.peer_listen and config.settings.may_message:
+            if "peers" not in self.sockets:
+                self.sockets["peers"] = handover.listener(*split(config.peer_listen), socket.SOCK_DGRAM)
+            self.gatekeeper.messenger = self.peers
+        self.front = JsonLinesFront(self.gatekeeper, log, self.most_links(), self.sockets["callers"])
+        self.iax2_front = self.make_iax2_front(config.iax2) if config.iax2 else None
+
+    def make_switch(self, name: str, address: str, on_report: Callable[[face.Report], None]) -> Switch:
+        iax2 = self.config.iax2
+        by_iax2 = iax2.switches.get(name) if iax2 else None
+        if iax2 and by_iax2:
             return Iax2Switch(
                 name,
-                endpoint,
-                registrar,
-                bridge,
-                config.iax2.peers[by_iax2.peer],
-                config.iax2.username,
+                self.endpoint,
+                self.registrar,
+                self.bridge,
+                iax2.peers[by_iax2.peer],
+                iax2.username,
                 by_iax2.circuits,
                 by_iax2.context,
                 by_iax2.qualify_s,
                 on_report,
-                log,
+                self.log,
             )
-        switches[:] = [one for one in switches if not one.retired]
-        made = SipSwitch(name, address, on_report, log, config.dial_timeout_s)
-        switches.append(made)
-        return made
-
-    gatekeeper = Gatekeeper(config.settings, config.seed, make_switch, log)
-    peers = Peers(list(config.peers), config.peers_all, gatekeeper.peer_message, log)
-    console = Console(gatekeeper, log)
-    if config.console:
-        gatekeeper.spawn(console.open(*config.console), "console")
-    path = handover.place(config.name)
-    asked = handover.ask(path, log) if path else None
-    sockets, line = asked or ({}, None)
-    if "callers" not in sockets:
-        sockets["callers"] = handover.listener(*config.listen)
-    if config.peer_listen and config.settings.may_message:
-        if "peers" not in sockets:
-            sockets["peers"] = handover.listener(*split(config.peer_listen), socket.SOCK_DGRAM)
-        gatekeeper.messenger = peers
-    channel = Channel(config.channel, gatekeeper.list_changed, gatekeeper.spawn, log)
-    channel.known(dict(config.known))
-    channel.start()
-
-    def reload() -> None:
+        self.sip = [one for one in self.sip if not one.retired]
+        self.sip.append(SipSwitch(name, address, on_report, self.log, self.config.dial_timeout_s))
+        return self.sip[-1]
+
+    def make_iax2_front(self, iax2: configuration.Iax2Config) -> Iax2Front:
+        return Iax2Front(
+            self.gatekeeper,
+            self.registrar,
+            iax2.numbers,
+            self.bridge,
+            self.rng,
+            self.log,
+            iax2.most_calls,
+            iax2.guests,
+        )
+
+    def most_links(self) -> int:
+        """Two processes share one budget of descriptors, one has it all."""
+        shared = self.predecessor or self.handover and self.handover.successor
+        return self.config.limits.sockets * (3 if shared else 6) // 10
+
+    # Starting
+
+    async def run(self) -> int:
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, self.stop.set)
+        self.loop.add_signal_handler(signal.SIGHUP, self.reload)
+        if self.config.console:
+            self.gatekeeper.spawn(self.console.open(*self.config.console), "console")
+        self.channel.known(dict(self.config.known))
+        self.channel.start()
+        if self.line:
+            await self.take_over(self.line)
+        else:
+            await self.serve_callers()
+            if self.config.iax2:
+                await self.open_iax2(self.config.iax2)
+            self.gatekeeper.spawn(self.until_dialled(), "start").add_done_callback(self.started)
+        address = ":".join(map(str, self.config.listen))
+        self.log("notice", "start", "listening", name=self.config.name, address=address)
+        await self.stop.wait()
+        await self.end()
+        return 0
+
+    def started(self, _: object = None) -> None:
+        self.gatekeeper.started = True
+
+    async def until_dialled(self) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(READY_S):
+                while waited := [one for one in self.sip if not one.ever_dialled.is_set()]:
+                    await waited[0].ever_dialled.wait()
+
+    async def serve_callers(self) -> None:
+        await self.front.accept()
+        if "peers" in self.sockets:
+            await self.peers.open(self.sockets["peers"])
+            self.gatekeeper.messenger = self.peers
+        if self.handover:
+            await self.handover.open()
+
+    async def open_iax2(self, iax2: configuration.Iax2Config) -> None:
+        assert self.iax2_front
+        self.endpoint.on_new = self.iax2_front.on_new
+        self.endpoint.available = lambda: self.gatekeeper.admits
+        await self.endpoint.open(*iax2.listen)
+        self.log("notice", "start", "listening for IAX2", address=":".join(map(str, iax2.listen)))
+        for name, refresh_s in iax2.register.items():
+            peer = iax2.peers[name]
+            Registration(self.endpoint, peer, iax2.username, refresh_s, self.log).start()
+
+    # Another process at the same address
+
+    async def take_over(self, line: socket.socket) -> None:
+        """The predecessor serves until this process knows as much as it does, unless it goes before."""
+        reader, writer = await asyncio.open_unix_connection(sock=line)
+        predecessor = self.predecessor = Partner(reader, writer, self.from_predecessor)
+        self.gatekeeper.spawn(predecessor.run(), "predecessor")
+        self.gatekeeper.spawn(self.until_alone(predecessor), "until alone")
+        self.front.limit(self.most_links())
+        self.front.elsewhere = predecessor.tell
+        self.log("notice", "handover", "taking over", sockets=",".join(self.sockets))
+        waits = [
+            self.gatekeeper.spawn(self.as_informed(), "informed"),
+            self.gatekeeper.spawn(self.stop_or_gone(predecessor), "stop or gone"),
+        ]
+        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        for wait in waits:
+            wait.cancel()
+        if not self.stop.is_set():
+            await self.serve_callers()
+            predecessor.tell("serving")
+            self.started()
+
+    async def as_informed(self) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CURRENT_S):
+                await self.channel.current.wait()
+        await self.until_dialled()
+        await self.gatekeeper.not_paused.wait()  # a process that sends callers away takes none over
+
+    async def stop_or_gone(self, predecessor: Partner) -> None:
+        waits = [asyncio.ensure_future(one.wait()) for one in (self.stop, predecessor.gone)]
+        try:
+            await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for wait in waits:
+                wait.cancel()
+
+    async def until_alone(self, predecessor: Partner) -> None:
+        await predecessor.gone.wait()
+        self.predecessor = self.front.elsewhere = None
+        self.front.limit(self.most_links())
+        self.log("notice", "handover", "the predecessor has gone")
+        if self.config.iax2:
+            # A call's frames come to its own process only, so the predecessor had the address to its end.
+            await self.open_iax2(self.config.iax2)
+
+    def from_predecessor(self, row: dict[str, Any]) -> None:
+        if row["type"] == "release":
+            self.front.release_elsewhere(row)
+
+    def from_successor(self, successor: Partner, row: dict[str, Any]) -> None:
+        """It serves: nothing new comes here, and what finds no connection here may find one there."""
+        if row["type"] == "serving":
+            self.log("notice", "handover", "the successor serves", calls=len(self.gatekeeper.calls))
+            self.front.stop_accepting()
+            self.peers.close()
+            self.gatekeeper.messenger = None
+            self.front.elsewhere, self.front.hands_over = successor.tell, True
+            self.front.pass_owed()
+        elif row["type"] == "release":
+            self.front.heard_elsewhere(row)
+
+    def successor_changed(self) -> None:
+        self.front.limit(self.most_links())
+        if self.handover and not self.handover.successor and self.front.hands_over:
+            # It has gone before it was needed, or we end and do so alone.
+            self.front.elsewhere, self.front.hands_over = None, False
+            if not self.gatekeeper.ending:
+                self.gatekeeper.spawn(self.serve_callers(), "take up again")
+
+    # Changing
+
+    def reload(self) -> None:
         """Take the new file whole, or keep to the old one; no call notices."""
-        nonlocal config
         try:
-            fresh = configuration.load(operator=operator, like=config)
+            fresh = configuration.load(operator=self.operator, like=self.config)
         except configuration.ConfigError as error:
-            gatekeeper.figures.bad_reloads += 1
-            return log("error", "reload", f"the old configuration stays: {error}")
-        later = [key for key in configuration.AT_START if getattr(fresh, key) != getattr(config, key)]
-        if configuration.beside_numbers(fresh.iax2) != configuration.beside_numbers(config.iax2):
+            self.gatekeeper.figures.bad_reloads += 1
+            return self.log("error", "reload", f"the old configuration stays: {error}")
+        kept = {key: getattr(self.config, key) for key in configuration.AT_START}
+        later = [key for key, value in kept.items() if getattr(fresh, key) != value]
+        if configuration.beside_numbers(fresh.iax2) != configuration.beside_numbers(self.config.iax2):
             later.append("iax2")
-        log(
+        self.log(
             "notice",
             "reload",
             "configuration read",
@@ -111,158 +251,57 @@
             classes=",".join(kind.name for kind in fresh.settings.classes),
             **({"at_next_start": ",".join(later)} if later else {}),
         )
-        kept = {key: getattr(config, key) for key in (*configuration.AT_START, "iax2")}
-        config = replace(fresh, **kept)
-        gatekeeper.figures.reloads += 1
-        log.set_level(fresh.syslog.level)
-        gatekeeper.retune(fresh.settings)
-        for switch in switches:
+        self.config = replace(fresh, iax2=self.config.iax2, **kept)
+        self.gatekeeper.figures.reloads += 1
+        self.log.set_level(fresh.syslog.level)
+        self.gatekeeper.retune(fresh.settings)
+        for switch in self.sip:
             switch.dial_timeout_s = fresh.dial_timeout_s
-        if callers and fresh.iax2:
-            callers.set_numbers(fresh.iax2.numbers)
-        channel.move(fresh.channel)
-
-    loop.add_signal_handler(signal.SIGHUP, reload)
-    front = JsonLinesFront(gatekeeper, log, config.limits.sockets * 6 // 10, sockets["callers"])
-
-    def share() -> None:
-        """Two processes share one budget of descriptors, one has it all."""
-        two = predecessor is not None or post is not None and post.successor is not None
-        front.limit(config.limits.sockets * (3 if two else 6) // 10)
+        if self.iax2_front and fresh.iax2:
+            self.iax2_front.set_numbers(fresh.iax2.numbers)
+        self.channel.move(fresh.channel)
 
-    def from_successor(partner: Partner, row: dict[str, Any]) -> None:
-        """It serves: nothing new comes here, and what finds no connection here may find one there."""
-        if row["type"] == "serving":
-            log("notice", "handover", "the successor serves", calls=len(gatekeeper.calls))
-            front.stop_accepting()
-            peers.close()
-            gatekeeper.messenger = None
-            front.elsewhere, front.hands_over = partner.tell, True
-            front.pass_owed()
-        elif row["type"] == "release":
-            front.heard_elsewhere(row)
+    # Ending
 
-    def successor_changed() -> None:
-        share()
-        if post and not post.successor and front.hands_over:
-            # It has gone before it was needed, or we end and do so alone.
-            front.elsewhere, front.hands_over = None, False
-            if not gatekeeper.ending:
-                gatekeeper.spawn(serve_callers(), "take up again")
-
-    def from_predecessor(row: dict[str, Any]) -> None:
-        if row["type"] == "release":
-            front.release_elsewhere(row)
-
-    async def serve_callers() -> None:
-        await front.accept()
-        if "peers" in sockets:
-            await peers.open(sockets["peers"])
-            gatekeeper.messenger = peers
-        if post:
-            await post.open()
-
-    async def open_iax2(iax2: configuration.Iax2Config) -> None:
-        """A call's frames come to its own process only, so the predecessor keeps the address to its end."""
-        if predecessor:
-            await predecessor.gone.wait()
-        await endpoint.open(*iax2.listen)
-        log("notice", "start", "listening for IAX2", address=":".join(map(str, iax2.listen)))
-        for name, refresh_s in iax2.register.items():
-            Registration(endpoint, iax2.peers[name], iax2.username, refresh_s, log).start()
+    async def end(self) -> None:
+        gatekeeper, stopped = self.gatekeeper, self.loop.time()
+        self.log("notice", "stop", "finishing what was taken", calls=len(gatekeeper.calls))
+        gatekeeper.ending = True
+        self.endpoint.available = lambda: False
+        successor = self.handover.successor if self.handover else None
+        longest_s = self.config.longest_deadline_s
+        if successor and successor.serving:
+            self.front.send_away()
+            self.endpoint.on_new = turn_away
+            until = stopped + min(LONGEST_REPLACED_S, longest_s) + 0.7 - EXIT_MARGIN_S
+            await gatekeeper.finish(until - self.loop.time(), keep_standing=True)
+            # Guards against set-ups that come, and go down with us, on a connection never without one.
+            self.front.send_off()
+            # What stands goes on until its end, or until we are killed.
+            over = [asyncio.ensure_future(wait) for wait in (gatekeeper.all_over(), successor.gone.wait())]
+            await asyncio.wait(over, return_when=asyncio.FIRST_COMPLETED)
+            await gatekeeper.finish(0)
+        else:
+            await asyncio.sleep(ACCEPT_S)
+            self.front.stop_accepting()
+            # Guards against connections that come up in a queue which nobody serves any more.
+            self.sockets["callers"].close()
+            self.endpoint.on_new = turn_away
+            until = stopped + max(3.0, longest_s) + 0.7 - EXIT_MARGIN_S
+            await gatekeeper.finish(until - self.loop.time())
+        self.front.send_off()
+        gatekeeper.close()
+        self.peers.close()
+        self.console.close()
+        await asyncio.sleep(0.1)  # the last releases leave, and what crossed the close is dropped
+        self.endpoint.close()
 
-    async def until_ready() -> None:
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(READY_S):
-                while waited := [
-                    one for one in switches if not one.retired and not one.ever_dialled.is_set()
-                ]:
-                    await waited[0].ever_dialled.wait()
 
-    predecessor: Partner | None = None
-    post = (
-        Handover(path, lambda: sockets, from_successor, successor_changed, gatekeeper.spawn, log)
-        if path
-        else None
+async def serve(config: configuration.Config, log: Syslog, operator: str | None) -> int:
+    asyncio.get_running_loop().set_exception_handler(
+        lambda _, context: log("error", "loop", str(context.get("exception") or context["message"]))
     )
-    if line:
-        # The predecessor serves until this process knows as much as it does.
-        reader, writer = await asyncio.open_unix_connection(sock=line)
-        predecessor = Partner(reader, writer, from_predecessor)
-        gatekeeper.spawn(predecessor.run(), "predecessor")
-        share()
-        front.elsewhere = predecessor.tell
-        log("notice", "handover", "taking over", sockets=",".join(sockets))
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(CURRENT_S):
-                await channel.current.wait()
-        await until_ready()
-        await gatekeeper.not_paused.wait()  # a process that sends callers away takes none over
-        await serve_callers()
-        predecessor.tell("serving")
-        gatekeeper.started = True
-
-        async def alone() -> None:
-            nonlocal predecessor
-            assert predecessor
-            await predecessor.gone.wait()
-            predecessor = front.elsewhere = None
-            share()
-            log("notice", "handover", "the predecessor has gone")
-
-        gatekeeper.spawn(alone(), "alone")
-    else:
-        await serve_callers()
-        gatekeeper.spawn(until_ready(), "start").add_done_callback(
-            lambda _: setattr(gatekeeper, "started", True)
-        )
-    if config.iax2:
-        callers = Iax2Front(
-            gatekeeper,
-            registrar,
-            config.iax2.numbers,
-            bridge,
-            rng,
-            log,
-            config.iax2.most_calls,
-            config.iax2.guests,
-        )
-        endpoint.on_new, endpoint.available = callers.on_new, lambda: gatekeeper.admits
-        if predecessor:
-            gatekeeper.spawn(open_iax2(config.iax2), "IAX2")
-        else:
-            await open_iax2(config.iax2)
-    log("notice", "start", "listening", name=config.name, address=":".join(map(str, config.listen)))
-    await stop.wait()
-
-    log("notice", "stop", "finishing what was taken", calls=len(gatekeeper.calls))
-    gatekeeper.ending = True
-    stopped = loop.time()
-    successor = post.successor if post else None
-    if successor and successor.serving:
-        front.send_away()
-        endpoint.on_new = turn_away
-        until = stopped + min(LONGEST_REPLACED_S, config.longest_deadline_s) + 0.7 - EXIT_MARGIN_S
-        await gatekeeper.finish(until - loop.time(), keep_standing=True)
-        # Guards against set-ups that come, and go down with us, on a connection that was never without one.
-        front.send_off()
-        # What stands goes on until its end, or until we are killed.
-        over = [asyncio.ensure_future(wait) for wait in (gatekeeper.all_over(), successor.gone.wait())]
-        await asyncio.wait(over, return_when=asyncio.FIRST_COMPLETED)
-        await gatekeeper.finish(0)
-    else:
-        await asyncio.sleep(ACCEPT_S)
-        front.stop_accepting()
-        endpoint.on_new = turn_away
-        until = stopped + max(3.0, config.longest_deadline_s) + 0.7 - EXIT_MARGIN_S
-        await gatekeeper.finish(until - loop.time())
-    front.send_off()
-    gatekeeper.close()
-    peers.close()
-    console.close()
-    await asyncio.sleep(0.1)  # the last releases leave, and what crossed the close is dropped
-    endpoint.close()
-    return 0
+    return await Program(config, log, operator).run()
 
 
 def main() -> int:
--- a/tansyspur/net/handover.py
+++ b/tansyspur/net/handover.py
@@ -52,6 +52,8 @@
     line = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
     line.settimeout(ASK_S)
     try:
+        if path.lstat().st_uid != os.getuid():
+            raise PermissionError(f"{path.name} is somebody else's")
         line.connect(str(path))
         names, descriptors, _, _ = socket.recv_fds(line, LONGEST_LINE, MOST_SOCKETS)
         if not descriptors:
@@ -105,7 +107,7 @@
     def __init__(
         self,
         path: Path,
-        sockets: Callable[[], Sockets],
+        sockets: Sockets,
         hear: Callable[[Partner, dict[str, Any]], None],
         changed: Callable[[], None],
         spawn: Spawn,
@@ -121,8 +123,10 @@
         fresh = self.path.with_suffix(f".{os.getpid()}")
         listening = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
         try:
+            self.close()
             fresh.unlink(missing_ok=True)
             listening.bind(str(fresh))
+            fresh.chmod(0o600)  # whoever can ask gets the address
             self.server = await asyncio.start_unix_server(self._asked, sock=listening, limit=LONGEST_LINE)
             fresh.replace(self.path)
         except OSError as error:
@@ -134,7 +138,7 @@
         if self.successor:
             self.log("warning", "handover", "a second successor was turned away")
             return writer.transport.abort()
-        given = self.sockets()
+        given = self.sockets
         # The transport's socket has no sendmsg; its descriptor, wrapped for the moment, has.
         line = socket.socket(fileno=os.dup(writer.get_extra_info("socket").fileno()))
         try:
--- a/tansyspur/net/jsonlines.py
+++ b/tansyspur/net/jsonlines.py
@@ -200,10 +200,11 @@
 
     def send_off(self) -> None:
         """Those that are never without an open set-up: fail what is open rather than keep them."""
+        busy = {leg.link for leg in self.legs.values() if not leg.stands}
         for link in list(self.links):
-            if not link.closed:
+            if link in busy and not link.closed:
                 self._fail_open(link, "callers are sent away")
-                link.leave()
+            link.leave()
 
     def send_away(self) -> None:
         """Close each connection as soon as its set-ups are answered, until told to stop.
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -395,3 +395,22 @@
         assert (await world.console("STATUS")).startswith("+OK")
         for one in (writer, *(one for _, one in silent), *(one.writer for one in crowd)):
             one.close()
+
+
+@program
+async def test_ending_alone_it_leaves_no_queue_that_nobody_serves():
+    # Guards against connections that come up, and then wait for a process that takes none any more.
+    switch = Switch("s-1", 1)
+    async with World(switch) as world:
+        caller = await world.caller()
+        call = caller.set_up(1)
+        await caller.next(call, "answer")
+        world.process.send_signal(signal.SIGTERM)
+        with pytest.raises(ConnectionRefusedError):
+            async with asyncio.timeout(LONG):
+                while True:
+                    (await world.caller()).close()
+                    await asyncio.sleep(0.05)
+        assert world.process.returncode is None
+        switch.bye(call)
+        assert (await caller.next(call))["type"] == "release"
