--- a/tansyspur/__main__.py
+++ b/tansyspur/__main__.py
@@ -271,6 +271,7 @@
         successor = self.handover.successor if self.handover else None
         longest_s = self.config.longest_deadline_s
         if successor and successor.serving:
+            self.front.stop_sending_away()  # of a pause, which keeps a connection for longer
             self.front.send_away()
             self.endpoint.on_new = turn_away
             until = stopped + min(LONGEST_REPLACED_S, longest_s) + 0.7 - EXIT_MARGIN_S
--- a/tansyspur/net/jsonlines.py
+++ b/tansyspur/net/jsonlines.py
@@ -237,6 +237,7 @@
             if timer:
                 timer.cancel()
         self.sweeper = self.last_call = None
+        self.keep_until = -math.inf
 
     # What another process says of our calls, or we of its
 
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -414,3 +414,26 @@
         assert world.process.returncode is None
         switch.bye(call)
         assert (await caller.next(call))["type"] == "release"
+
+
+@program
+async def test_a_pause_belongs_to_its_process_and_an_ending_one_takes_no_orders():
+    switch = Switch("s-1", 1)
+    async with World(switch) as world:
+        caller, old_console = await world.caller(), world.console_port
+        call = caller.set_up(1)
+        await caller.next(call, "answer")
+        await world.console("PAUSE")
+        old = await world.replace()
+        newcomer = await world.caller()
+        assert (await newcomer.next(newcomer.set_up(1)))["type"] == "answer"
+        old.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(LONG):
+            while not (await world.console("STATUS", old_console)).startswith("-ERR ending"):
+                await asyncio.sleep(0.05)
+        for order in ("PAUSE", "RESUME"):
+            assert (await world.console(order, old_console)).startswith("-ERR")
+        assert await caller.silent(LONG)  # its connection was kept for the pause, and is not any more
+        switch.bye(call)
+        assert (await newcomer.next(call))["type"] == "release"
+        assert (await world.console("STATUS")).startswith("+OK")
