Log and count why calls ended, how callers were told, and who was out of reach

The logs had no line for a switch that falls silent or comes back, for the reason of a standing call's end, for the way its release took, or for the command channel's time away.

Change: a typed reason travels with the end of each attempt and call; connections have numbers; each transition of a switch, an entry of the list and the channel is one line; metrics call_ends.*, end_deliveries.*, switch_losses, channel_losses, standing and hosts_unreached. The test of the figures asserts the whole set of non-zero ones, so it names the new ones too; it is as strict as before.

--- a/tansyspur/__main__.py
+++ b/tansyspur/__main__.py
@@ -57,7 +57,9 @@
         self.records = self.open_records(config.records_file) if config.records_file else None
         self.console = Console(self.gatekeeper, log)
         self.peers = Peers(list(config.peers), config.peers_all, self.gatekeeper.peer_message, log)
-        self.channel = Channel(config.channel, self.gatekeeper.list_changed, self.gatekeeper.spawn, log)
+        self.channel = Channel(
+            config.channel, self.gatekeeper.list_changed, self.gatekeeper.spawn, log, self.gatekeeper.figures
+        )
         # Of the process before this one, as long as it lives, and for the one after it.
         path = handover.place(config.name)
         asked = handover.ask(path, log) if path else None
@@ -93,7 +95,8 @@
                 self.log,
             )
         self.sip = [one for one in self.sip if not one.retired]
-        self.sip.append(SipSwitch(name, address, on_report, self.log, self.config.dial_timeout_s))
+        figures, dial_timeout_s = self.gatekeeper.figures, self.config.dial_timeout_s
+        self.sip.append(SipSwitch(name, address, on_report, self.log, dial_timeout_s, figures))
         return self.sip[-1]
 
     def open_records(self, path: str) -> "CdrFile":
--- a/tansyspur/core/gatekeeper.py
+++ b/tansyspur/core/gatekeeper.py
@@ -12,7 +12,7 @@
 from tansyspur.core import guard, ports
 from tansyspur.core.clock import Clock
 from tansyspur.core.figures import Figures, Verdict
-from tansyspur.core.ports import CallerLeft, CallerLeg, Ended, Listing, Offer, Stood, Switch
+from tansyspur.core.ports import CallerLeft, CallerLeg, Ended, EndReason, Listing, Offer, Stood, Switch
 from tansyspur.policy import Controller
 
 DEADLINE_MARGIN_MS = 10  # the final answer leaves this much before the caller stops waiting
@@ -47,6 +47,10 @@
         """For the front: the caller gave up or hung up."""
         self.signals.put_nowait(CallerLeft(cause))
 
+    def stop(self) -> None:
+        """The gatekeeper ends: a call that stands is released on both sides."""
+        self.signals.put_nowait(CallerLeft(ports.TEMPORARY_FAILURE, reason=EndReason.STOPPED))
+
     def fail(self) -> None:
         """The call cannot go on: its caller is told so."""
         self.caller.fail(ports.TEMPORARY_FAILURE)
@@ -188,6 +192,7 @@
             self.names[exchange_id] = row.name
         known = self.listed.get(row.name)
         switch = self.switches.get(exchange_id)
+        self._log_listing(row, known)
         if row.state is not face.ExchangeState.IN_SERVICE and switch:
             switch.closed_to_new()
         if row.state is face.ExchangeState.GONE:
@@ -205,6 +210,18 @@
             )
         return row.as_exchange(exchange_id)
 
+    def _log_listing(self, row: Listing, known: Listing | None) -> None:
+        """A line for each entry that is not as it was, so that its effects can be traced to it."""
+        if row == known:
+            return
+        standing = sum(
+            call.stands for call in self.calls.values() if self.names.get(call.exchange_id) == row.name
+        )
+        self.log(
+            "notice", "list", f"{known.state.value if known else 'unknown'} to {row.state.value}",
+            switch=row.name, address=row.address, started_ms=(row.started_ns or 0) // 1_000_000, standing=standing,
+        )  # fmt: skip
+
     def _unlist(self, name: str) -> None:
         self.listed.pop(name, None)
         exchange_id = self.exchange_ids.pop(name, -1)
@@ -284,6 +301,8 @@
             # The last guard of rule 1: whatever went wrong here, the caller gets an answer, and it is logged.
             end = call.caller.release if call.stands else call.caller.fail
             end(ports.TEMPORARY_FAILURE)
+            if call.stands:
+                self.figures.call_ends[EndReason.INTERNAL] += 1
             if not call.stands:
                 self.figures.ended(Verdict.FAILURE, call.offer.class_name)
             self._over(call, "cut" if call.stands else "failed")
@@ -326,7 +345,9 @@
             if result.outcome in NEEDS_RELEASE:
                 call.ready_ns = self.clock.now_ns() + self.settings.release_ns
             call.last_cause = result.cause
-            self._record(call, f"attempt: {result.outcome.value}", elapsed_ns, level="debug")
+            doubtful = result.outcome in NEEDS_RELEASE or result.outcome is face.Outcome.NO_ROUTE
+            level = "info" if doubtful else "debug"
+            self._record(call, f"attempt: {result.outcome.value}", elapsed_ns, level, result.reason)
             self._attempt_over(call, result, final=False)
 
     async def _decision(self, call: Call) -> Order | CallerLeft:
@@ -409,11 +430,14 @@
             self._attempt_over(call, Ended(face.Outcome.CANCELLED), final=True)
             call.caller.release(signal.cause)
             ended_well = not signal.failed and signal.cause != ports.TEMPORARY_FAILURE
+            reason = signal.reason
         else:
             ended_well = signal.outcome is face.Outcome.ENDED
+            reason = signal.reason or EndReason.SWITCH_RELEASED
             call.caller.release(ports.NORMAL_CLEARING if ended_well else ports.TEMPORARY_FAILURE)
             self._attempt_over(call, signal, final=True)
-        self._record(call, "released", self.clock.now_ns() - call.sent_ns)
+        self.figures.call_ends[reason] += 1
+        self._record(call, "released", self.clock.now_ns() - call.sent_ns, reason=reason)
         self._over(call, "ended" if ended_well else "cut")
 
     # Parts of it
@@ -486,11 +510,14 @@
                 self._record(call, what, elapsed_ns)
                 self._over(call, what)
 
-    def _record(self, call: Call, what: str, elapsed_ns: int = 0, level: str = "info") -> None:
+    def _record(
+        self, call: Call, what: str, elapsed_ns: int = 0, level: str = "info", reason: EndReason | None = None
+    ) -> None:
         self.log(
             level, "call", what, call=call.offer.wire_id, **{"class": call.offer.class_name},
             to=call.offer.destination, switch=self.names.get(call.exchange_id, ""), attempts=call.attempts,
             cause=call.last_cause.value if call.last_cause else "", ms=elapsed_ns // 1_000_000,
+            reason=reason.value if reason else "",
         )  # fmt: skip
 
     def _over(self, call: Call, verdict: str) -> None:
@@ -537,7 +564,7 @@
         left = [call for call in self.calls.values() if not (keep_standing and call.stands)]
         rest = [call.task for call in left if call.task]
         for call in left:
-            call.left(ports.TEMPORARY_FAILURE) if call.stands else call.fail()
+            call.stop() if call.stands else call.fail()
         if rest:
             await asyncio.wait(rest, timeout=0.2)
 
--- a/tansyspur/core/ports.py
+++ b/tansyspur/core/ports.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from enum import Enum
 from typing import Protocol
 
 from tansyspur import interface as face
@@ -49,11 +50,29 @@
     description: str
 
 
+class EndReason(Enum):
+    """Why an attempt or a call that stood is over, for the log and the metrics."""
+
+    SWITCH_RELEASED = "switch_released"  # at its end, as the switch told
+    SWITCH_CUT = "switch_cut"  # as the switch told
+    SWITCH_REFUSED = "switch_refused"  # no set-up: its answer said so
+    CALLER = "caller"  # the caller gave up or hung up
+    CONNECTION_LOST = "connection_lost"  # under the set-up
+    CONNECTION_REFUSED = "connection_refused"  # nothing runs at the switch's address
+    NO_CONNECTION = "no_connection"  # none came up in time
+    SWITCH_RESTARTED = "switch_restarted"  # as discovery told
+    SWITCH_REMOVED = "switch_removed"  # as discovery told
+    DRAINED = "drained"  # discovery told of a drain before the set-up had left
+    STOPPED = "stopped"  # the gatekeeper ends
+    INTERNAL = "internal"  # an error of our own
+
+
 @dataclass(slots=True, frozen=True)
 class Ended:
     outcome: face.Outcome
     cause: face.Cause | None = None
     report: face.Report | None = None
+    reason: EndReason | None = None
 
 
 @dataclass(slots=True, frozen=True)
@@ -62,6 +81,7 @@
 
     cause: int = NORMAL_CLEARING
     failed: bool = False  # it did not leave by itself: its front failed the call
+    reason: EndReason = EndReason.CALLER
 
 
 @dataclass(slots=True, frozen=True)
@@ -108,6 +128,10 @@
 class Switch(Protocol):
     """One carrier switch."""
 
+    @property
+    def reached(self) -> bool:
+        """Whether it can be spoken to at this moment, as far as is known."""
+
     def place(
         self,
         request: SetUpRequest,
--- a/tansyspur/iax2/back.py
+++ b/tansyspur/iax2/back.py
@@ -149,7 +149,7 @@
         self.peer, self.username, self.circuits, self.context = peer, username, circuits, context
         self.on_report, self.log, self.qualify_s = on_report, log, qualify_s
         self.attempts: set[Attempt] = set()
-        self.reachable = True
+        self.reached = True
         self.retired = False
         self.loop = asyncio.get_running_loop()
         self.loop.call_soon(self._report)
@@ -179,7 +179,7 @@
         attempt = Attempt(self, order, tell)
         self.attempts.add(attempt)
         address = self.registrar.address(self.peer.name)
-        if address is None or not self.reachable:
+        if address is None or not self.reached:
             attempt.end(Ended(face.Outcome.NO_ROUTE))
         elif self.circuits and len(self.attempts) > self.circuits:
             attempt.end(Ended(face.Outcome.NOT_SENT, face.Cause.NO_CIRCUIT))
@@ -235,8 +235,8 @@
         self.loop.call_later(self.qualify_s, self._qualify)
 
     def found(self, reachable: bool) -> None:
-        if reachable is not self.reachable:
-            self.reachable = reachable
+        if reachable is not self.reached:
+            self.reached = reachable
             self.log("notice", "iax2", "reachable" if reachable else "does not answer", switch=self.name)
 
 
--- a/tansyspur/net/channel.py
+++ b/tansyspur/net/channel.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from tansyspur import interface as face
+from tansyspur.core.figures import Figures
 from tansyspur.core.ports import Listing
 from tansyspur.net.framing import Chunks
 from tansyspur.net.link import Link
@@ -47,13 +48,17 @@
 
 
 class Channel:
-    def __init__(self, address: str | None, on_list: OnList, spawn: Spawn, log: Log) -> None:
-        self.address = address
+    def __init__(
+        self, address: str | None, on_list: OnList, spawn: Spawn, log: Log, figures: Figures
+    ) -> None:
+        self.address, self.figures = address, figures
         self.on_list, self.spawn, self.log = on_list, spawn, log
         self.cursor = 0
         self.gap_at = -1  # the cursor at which an event was missing the last time
         self.task: asyncio.Task[None] | None = None
         self.current = asyncio.Event()  # the channel has told a number that we have reached
+        self.lost_at: float | None = None  # since when there is no connection
+        self.dials = 0  # that failed since then
 
     def start(self) -> None:
         if self.address:
@@ -123,14 +128,33 @@
             try:
                 async with asyncio.timeout(DIAL_S):
                     reader, writer = await asyncio.open_connection(*split(address))
-            except (TimeoutError, OSError):
+            except (TimeoutError, OSError) as error:
+                self._not_reached(address, error)
                 await asyncio.sleep(REDIAL_S)
                 continue
             link = Link(reader, writer, LONGEST_EVENT)
+            self._reached(address, link)
             link.write(b"resume %d\n" % self.cursor)
             await self._listen(link)
             await asyncio.sleep(REDIAL_S)
 
+    def _reached(self, address: str, link: Link) -> None:
+        away_ms = int((link.loop.time() - self.lost_at) * 1000) if self.lost_at else 0
+        self.log(
+            "notice", "channel", "connected", address=address, link=link.number, cursor=self.cursor,
+            away_ms=away_ms, failed_dials=self.dials,
+        )  # fmt: skip
+        self.lost_at, self.dials = None, 0
+
+    def _not_reached(self, address: str, error: Exception) -> None:
+        """Only the first failed dial is logged; their number is told with the connection that comes up."""
+        self.dials += 1
+        if self.lost_at is None:
+            self.lost_at = asyncio.get_running_loop().time()
+        if self.dials == 1:
+            reason = type(error).__name__
+            self.log("warning", "channel", "not reached", address=address, reason=reason, cursor=self.cursor)
+
     async def _listen(self, link: Link) -> None:
         def take(chunks: Chunks) -> bool:
             watch.reschedule(link.loop.time() + SILENT_S)
@@ -150,4 +174,7 @@
             ended = repr(error)
         finally:
             link.abort()
-        self.log("notice", "channel", f"connection ended: {ended}")
+        self.figures.channel_losses += 1
+        if self.lost_at is None:
+            self.lost_at = link.loop.time()
+        self.log("notice", "channel", f"connection ended: {ended}", link=link.number, cursor=self.cursor)
--- a/tansyspur/net/console.py
+++ b/tansyspur/net/console.py
@@ -5,7 +5,9 @@
 import re
 from collections.abc import Callable
 
+from tansyspur.core.figures import Delivery
 from tansyspur.core.gatekeeper import Gatekeeper
+from tansyspur.core.ports import EndReason
 
 LONGEST_CALL = 256
 CALL_S = 5.0  # some connect and say nothing
@@ -28,8 +30,16 @@
             counters[f"{verdict.value}.{NO_NAME.sub('_', class_name)}"] = count
     counters["backend_calls"] = figures.attempts
     counters["reconfig_ok"], counters["reconfig_failed"] = figures.reloads, figures.bad_reloads
+    for reason in EndReason:
+        counters[f"call_ends.{reason.value}"] = figures.call_ends[reason]
+    for delivery in Delivery:
+        counters[f"end_deliveries.{delivery.value}"] = figures.deliveries[delivery]
+    counters["switch_losses"] = figures.switch_losses
+    counters["channel_losses"] = figures.channel_losses
     gauges = {
         "inflight": len(gatekeeper.calls),
+        "standing": sum(call.stands for call in gatekeeper.calls.values()),
+        "hosts_unreached": sum(not switch.reached for switch in gatekeeper.switches.values()),
         "hosts_listed": len(gatekeeper.listed),
         "hosts_down": len(gatekeeper.avoided()),
     }
--- a/tansyspur/net/jsonlines.py
+++ b/tansyspur/net/jsonlines.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from tansyspur.core.figures import Verdict
+from tansyspur.core.figures import Delivery, Verdict
 from tansyspur.core.gatekeeper import Call, Gatekeeper
 from tansyspur.core.ports import INVALID_ELEMENT, NORMAL_CLEARING, TEMPORARY_FAILURE, Offer
 from tansyspur.net.framing import Chunks, FramingError
@@ -270,9 +270,23 @@
         if live:
             live.write(message)
             self.unheard[wire_id] = (now, live, message)
+            delivery = Delivery.WRITTEN if live is link else Delivery.REDIRECTED
+            self._note_delivery(delivery, wire_id, live)
         elif len(self.owed) < MOST_OWED:
             self.owed[wire_id] = Owed(now, message)
+            self._note_delivery(Delivery.OWED, wire_id)
             self.pass_owed()
+        else:
+            self._note_delivery(Delivery.EXPIRED, wire_id)
+
+    def _note_delivery(
+        self, delivery: Delivery, wire_id: str, link: Link | None = None, late_s: float = 0.0
+    ) -> None:
+        """Count how the end of a call was told; whatever is not the plain way is logged."""
+        self.gatekeeper.figures.deliveries[delivery] += 1
+        level = "debug" if delivery is Delivery.WRITTEN else "info"
+        number = link.number if link else ""
+        self.log(level, "release", delivery.value, call=wire_id, link=number, late_ms=int(late_s * 1000))
 
     def _not_new(self, link: Link) -> None:
         if timer := self.new.pop(link, None):
@@ -284,6 +298,7 @@
         for wire_id, owed in list(self.owed.items()):
             if now - max(owed.at, self.resumed_at) > OWED_S:
                 del self.owed[wire_id]
+                self._note_delivery(Delivery.EXPIRED, wire_id, late_s=now - owed.at)
                 continue
             if link not in owed.told:
                 owed.told.add(link)
@@ -291,6 +306,7 @@
             if link in self.asked:
                 del self.owed[wire_id]
                 self.unheard[wire_id] = (now, link, owed.message)
+                self._note_delivery(Delivery.PAID, wire_id, link, now - owed.at)
 
     async def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if len(self.links) >= self.most_links and not self._make_room():
--- a/tansyspur/net/link.py
+++ b/tansyspur/net/link.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import fcntl
+import itertools
 import socket
 import termios
 from array import array
@@ -20,10 +21,13 @@
 class Link:
     """Messages in by on_data, which takes what it can from the chunks; write() never waits."""
 
+    numbers = itertools.count(1)
+
     def __init__(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, longest: int = LONGEST
     ) -> None:
         self.reader, self.writer = reader, writer
+        self.number = next(self.numbers)  # by which the log tells connections apart
         self.chunks = Chunks(longest)
         self.loop = asyncio.get_running_loop()
         self.closed = False
--- a/tansyspur/net/sip.py
+++ b/tansyspur/net/sip.py
@@ -8,7 +8,8 @@
 from dataclasses import dataclass
 
 from tansyspur import interface as face
-from tansyspur.core.ports import NORMAL_CLEARING, Ended, SetUpRequest, Stood, SwitchSignal
+from tansyspur.core.figures import Figures
+from tansyspur.core.ports import NORMAL_CLEARING, Ended, EndReason, SetUpRequest, Stood, SwitchSignal
 from tansyspur.net.framing import LONGEST, Chunks, FramingError
 from tansyspur.net.link import Link
 from tansyspur.translate import parse_report
@@ -169,7 +170,7 @@
             return
         if not self.may_send():
             self.switch.forget(self)
-            return self.tell(Ended(face.Outcome.NOT_SENT))
+            return self.tell(Ended(face.Outcome.NOT_SENT, reason=EndReason.DRAINED))
         offer = self.order.offer
         wait_ms = max(1, int((self.expires_at - self.switch.loop.time()) * 1000))
         self.link, self.sent_at, self.sent_ns = link, self.switch.loop.time(), time.time_ns()
@@ -180,7 +181,7 @@
 
     def no_route(self) -> None:
         self.switch.forget(self)
-        self.tell(Ended(face.Outcome.NO_ROUTE))
+        self.tell(Ended(face.Outcome.NO_ROUTE, reason=EndReason.NO_CONNECTION))
 
     def cancel(self) -> None:
         if self.over:
@@ -212,8 +213,9 @@
         on_report: Callable[[face.Report], None],
         log: Log,
         dial_timeout_s: float,
+        figures: Figures,
     ) -> None:
-        self.name, self.on_report, self.log = name, on_report, log
+        self.name, self.on_report, self.log, self.figures = name, on_report, log, figures
         self.host, _, port = address.rpartition(":")
         self.port = int(port)
         self.dial_timeout_s = dial_timeout_s
@@ -227,6 +229,8 @@
         self.probes: dict[str, Callable[[face.Outcome, face.Report | None], None]] = {}
         self.probe_ids = itertools.count(1)
         self.retired = False
+        self.was_reached = False  # when that was last looked at
+        self.lost_at: float | None = None  # since when, after there was one
         self.wanted = asyncio.Event()
         self.keeper = self.loop.create_task(self._keep(), name=f"switch {name}")
         self.keeper.add_done_callback(self._keeper_done)
@@ -275,20 +279,20 @@
                 link.abort()
         for leg in self.waiting[:]:
             self.forget(leg)
-            leg.tell(Ended(face.Outcome.NOT_SENT))
+            leg.tell(Ended(face.Outcome.NOT_SENT, reason=EndReason.DRAINED))
 
     def restarted(self, at_ns: int) -> None:
         # Guards against calls that stand for ever: the process that held them can send no release.
         for leg in [leg for leg in self.legs.values() if leg.link and leg.sent_ns < at_ns]:
             self.forget(leg)
-            leg.tell(Ended(face.Outcome.CUT))
+            leg.tell(Ended(face.Outcome.CUT, reason=EndReason.SWITCH_RESTARTED))
 
     def retire(self) -> None:
         """The switch is gone: the calls that stand there are cut, and whatever is out is given up."""
         self.retired = True
         for leg in [leg for leg in self.legs.values() if leg.stands]:
             self.bye(leg.call_id, NORMAL_CLEARING, leg.link)  # should it live on, it must not keep them
-        self._cut_all()
+        self._cut_all(EndReason.SWITCH_REMOVED)
         self.close()
 
     def close(self) -> None:
@@ -322,18 +326,44 @@
                 del self.asked[link]
             if link in self.asked:
                 if now - self.asked[link] > PONG_S:
-                    self.log("warning", "sip", "a silent connection was closed", switch=self.name)
+                    self.log(
+                        "warning", "sip", "a silent connection was closed", switch=self.name,
+                        link=link.number, silent_ms=int((now - link.heard_at) * 1000),
+                    )  # fmt: skip
                     link.abort()
             elif now - link.heard_at > used.get(link, IDLE_S):
                 self.asked[link] = now
                 link.write(request("OPTIONS", "ping", f"ping-{next(self.probe_ids)}", 1))
 
+    @property
+    def reached(self) -> bool:
+        return any(not link.closed for link in self.links)
+
+    def _note_reach(self) -> None:
+        """Log and count each change between having a connection and having none."""
+        reached = self.reached
+        if reached is self.was_reached:
+            return
+        self.was_reached = reached
+        standing = sum(leg.stands for leg in self.legs.values())
+        if not reached:
+            self.figures.switch_losses += 1
+            self.lost_at = self.loop.time()
+            return self.log(
+                "warning", "sip", "the switch is out of reach", switch=self.name, standing=standing
+            )
+        away_ms = int((self.loop.time() - self.lost_at) * 1000) if self.lost_at else 0
+        self.log(
+            "notice", "sip", "the switch is reached", switch=self.name, standing=standing, away_ms=away_ms
+        )
+
     async def _keep(self) -> None:
         """Keeps one usable connection, as the state of the group comes over it."""
         redial_s = FIRST_REDIAL_S
         while not self.retired:
             self.wanted.clear()
             self._watch()
+            self._note_reach()
             if self._usable() is None or self.waiting:
                 redial_s = FIRST_REDIAL_S if await self._dial() else min(LONGEST_REDIAL_S, redial_s * 2)
                 self.ever_dialled.set()
@@ -363,7 +393,7 @@
             return False  # silent: those waiting have timers of their own
         except OSError as error:
             if isinstance(error, ConnectionRefusedError) and not any(not link.closed for link in self.links):
-                self._cut_all()
+                self._cut_all(EndReason.CONNECTION_REFUSED)
             for leg in self.waiting[:]:
                 leg.no_route()
             return False
@@ -398,7 +428,7 @@
         try:
             ended = await link.read_all(take, REST_S, unfinished)
             if not self.retired and not spoilt:
-                self.log("notice", "sip", f"connection ended: {ended}", switch=self.name)
+                self.log("notice", "sip", f"connection ended: {ended}", switch=self.name, link=link.number)
         except FramingError as error:
             spoilt = str(error)
         except Exception as error:  # noqa: BLE001 - one bad message must cost one connection, no more
@@ -412,18 +442,21 @@
             for leg in cut:
                 self.forget(leg)
             if spoilt:
-                self.log("warning", "sip", f"connection dropped: {spoilt}", switch=self.name, cut=len(cut))
+                self.log(
+                    "warning", "sip", f"connection dropped: {spoilt}", switch=self.name, link=link.number,
+                    cut=len(cut),
+                )  # fmt: skip
             for leg in cut:
                 # Guards against a call that stands at the switch for nobody: its answer may be what was lost.
                 if not self.retired:
                     self.bye(leg.call_id, NORMAL_CLEARING, None)
-                leg.tell(Ended(face.Outcome.CUT))
+                leg.tell(Ended(face.Outcome.CUT, reason=EndReason.CONNECTION_LOST))
             self.wanted.set()
 
-    def _cut_all(self) -> None:
+    def _cut_all(self, reason: EndReason) -> None:
         for leg in list(self.legs.values()):
             self.forget(leg)
-            leg.tell(Ended(face.Outcome.CUT if leg.link else face.Outcome.NO_ROUTE))
+            leg.tell(Ended(face.Outcome.CUT if leg.link else face.Outcome.NO_ROUTE, reason=reason))
 
     def gave_up(self, call_id: str) -> None:
         self.given_up[call_id] = None
@@ -499,7 +532,8 @@
         self.forget(leg)
         outcome = REFUSALS.get(status, face.Outcome.FAULT)
         cause = CAUSES.get(message.headers.get("x-cause", ""))
-        leg.tell(Ended(outcome, cause, parse_group(message.headers.get("x-group", ""))))
+        report = parse_group(message.headers.get("x-group", ""))
+        leg.tell(Ended(outcome, cause, report, EndReason.SWITCH_REFUSED))
 
     def _released(self, link: Link, message: Message) -> None:
         """The end of a call that stood; it may be told twice."""
@@ -511,7 +545,9 @@
         found = re.search(r"cause\s*=\s*([0-9]{1,3})", message.headers.get("reason", ""))
         cut = found is not None and int(found.group(1)) != 16
         report = parse_group(message.headers.get("x-group", ""))
-        leg.tell(Ended(face.Outcome.CUT if cut else face.Outcome.ENDED, None, report))
+        outcome = face.Outcome.CUT if cut else face.Outcome.ENDED
+        reason = EndReason.SWITCH_CUT if cut else EndReason.SWITCH_RELEASED
+        leg.tell(Ended(outcome, None, report, reason))
 
     def _reply(self, message: Message) -> bytes:
         kept = [
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -345,7 +345,8 @@
                 await asyncio.sleep(0.05)
         sent = sum(one.count("INVITE") for one in world.switches)
         assert {name: value for name, value in now.items() if value} == {
-            "success.lookup": 2, "busy.fix": 1, "failure.lookup": 4, "backend_calls": sent, "inflight": 2,
+            "success.lookup": 2, "busy.fix": 1, "failure.lookup": 4, "backend_calls": sent,
+            "inflight": 2, "standing": 1, "call_ends.switch_released": 1, "end_deliveries.written": 1,
             "hosts_listed": 5, "hosts_down": 1, "reconfig_ok": 1, "reconfig_failed": 1,
         }  # fmt: skip
         assert "success.survey" in now and not [name for name in now if "made" in name]
