--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,11 +5,21 @@
 
 from tansyspur import interface as face
 from tansyspur.policy import Controller
+from tests import known_red
 
 # Guards against a verdict that depends on how busy the machine is, or on luck.
 hypothesis_settings.register_profile("steady", deadline=None, derandomize=True)
 hypothesis_settings.load_profile("steady")
 
+
+def pytest_collection_modifyitems(items):
+    known_red.mark(items)
+
+
+def pytest_terminal_summary(terminalreporter):
+    known_red.report(terminalreporter.write_line, terminalreporter.stats)
+
+
 S = 1_000_000_000
 MS = 1_000_000
 OWN = 1
--- a/tests/world.py
+++ b/tests/world.py
@@ -15,6 +15,8 @@
 import tempfile
 from pathlib import Path
 
+from tansyspur.faults.proxy import FaultProxy
+
 LONG = 20.0
 ROOT = Path(__file__).parent.parent
 S = 1_000_000_000
@@ -54,6 +56,7 @@
         self.log = []  # the same, for assertions, with the time
         self.writers, self.origin, self.chop = [], {}, 0
         self.out, self.with_refusal = set(), "X-Any: 1"
+        self.proxy = None  # through which the program reaches it, if any
         self.mute = []  # connections on which nothing more is sent
 
     async def start(self, port=0):
@@ -67,8 +70,8 @@
 
     def entry(self, status="up", **more):
         return {
-            "name": self.name, "address": f"127.0.0.1:{self.port}", "zone": "z", "type": "std",
-            "group": self.number, "status": status, "weight": 1, "since_ms": 0, **more,
+            "name": self.name, "address": f"127.0.0.1:{self.proxy.port if self.proxy else self.port}",
+            "zone": "z", "type": "std", "group": self.number, "status": status, "weight": 1, "since_ms": 0, **more,
         }  # fmt: skip
 
     async def serve(self, reader, writer):
@@ -222,7 +225,8 @@
 
 
 class World:
-    def __init__(self, *switches, operator=None, limits=None, **changed):
+    def __init__(self, *switches, operator=None, limits=None, proxied=False, **changed):
+        self.proxied, self.proxies, self.channel_proxy = proxied, [], None
         self.switches, self.operator, self.settings = [*switches], operator, settings(**changed)
         self.limits = limits or {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
         self.channel, self.lines = Channel(), []
@@ -231,6 +235,10 @@
         for switch in self.switches:
             await switch.start()
         await self.channel.start()
+        if self.proxied:
+            for switch in self.switches:
+                switch.proxy = await self.proxy(switch.port)
+            self.channel_proxy = await self.proxy(self.channel.port)
         own = {
             "name": "own",
             "address": "127.0.0.1:9",
@@ -252,7 +260,8 @@
             "name": "n0", "listen": f"127.0.0.1:{self.port}", "seed": "8c1f30d27a5be964",
             "limits": self.limits,
             "peer_listen": f"127.0.0.1:{self.peer_port}", "peers": [f"127.0.0.1:{self.peer_port}", peer],
-            "peers_all": peer, "channel": f"127.0.0.1:{self.channel.port}",
+            "peers_all": peer,
+            "channel": f"127.0.0.1:{(self.channel_proxy or self.channel).port}",
             "known": {"cursor": 1, "cmds": [self.channel.events[0]]}, "settings": self.settings,
         }  # fmt: skip
         self.config.write_text(json.dumps(self.document))
@@ -267,6 +276,10 @@
         await self.ready()
         return self
 
+    async def proxy(self, target):
+        self.proxies.append(await FaultProxy(target).start())
+        return self.proxies[-1]
+
     async def launch(self, console_port):
         process = await asyncio.create_subprocess_exec(
             sys.executable, *self.arguments, cwd=ROOT, stderr=asyncio.subprocess.PIPE,
@@ -355,6 +368,8 @@
             await asyncio.gather(*self.reading)
             if error:
                 print("\n".join(self.lines))
+            for proxy in self.proxies:
+                proxy.close()
             for server in [self.channel, *self.switches]:
                 server.server.close()
             self.peer.close()
