Calls that stand hold a lease: a silent switch's are over after 7 s, whoever is down

Cause: only discovery (removed, restarted), a refused connection or the switch's own release ended a call that stood. A machine that vanished gives none of these: sip.py closed the silent connection after 0.55 s and redialled for ever, and the legs in SipSwitch.legs stayed. With discovery down the callers waited for it. Class of fault: state kept for a remote party that only a message ends, with no timer of our own behind it.

Change: core/lease.py, without I/O. Each call that stands holds a lease of 7 s of the 8 s in which its end is owed, renewed by signs of life of the process that holds it. Processes are told apart by overlapping connections, by releases of earlier calls, or by a prompt return while discovery was heard without a gap; else another process may have taken the address. Related paths: a connection is opened anew after one under standing calls has ended, and every 4 s while one was silent, as the switch repeats its releases on a new one only; releases toward a switch are written again if their connection ends without a word; a switch whose address another one takes in the list is over at once, and its address gets none of its set-ups; a pause of the process itself is not taken for silence.

--- a/tansyspur/__main__.py
+++ b/tansyspur/__main__.py
@@ -96,7 +96,8 @@
             )
         self.sip = [one for one in self.sip if not one.retired]
         figures, dial_timeout_s = self.gatekeeper.figures, self.config.dial_timeout_s
-        self.sip.append(SipSwitch(name, address, on_report, self.log, dial_timeout_s, figures))
+        steady_since = lambda: self.channel.steady_since  # noqa: E731 - the channel is made after the first switch
+        self.sip.append(SipSwitch(name, address, on_report, self.log, dial_timeout_s, figures, steady_since))
         return self.sip[-1]
 
     def open_records(self, path: str) -> "CdrFile":
--- a/tansyspur/core/gatekeeper.py
+++ b/tansyspur/core/gatekeeper.py
@@ -76,6 +76,7 @@
         self.recorder: Callable[[ports.Over], None] | None = None  # of each call that is over
         self.calls: dict[int, Call] = {}
         self.listed: dict[str, Listing] = {}
+        self.displaced: set[str] = set()  # switches listed at an address that another one has taken since
         self.names: dict[int, str] = {}  # the module's exchange ids to names, and back
         self.exchange_ids: dict[str, int] = {}
         self.switches: dict[int, Switch] = {}
@@ -182,10 +183,19 @@
             gone = [name for name in self.listed if name not in there]
             for name in gone:
                 self._unlist(name)
-        exchanges = tuple(self._enter(row) for row in rows)
-        self.consult(face.ExchangeList(kind, exchanges))
-
-    def _enter(self, row: Listing) -> face.Exchange:
+        together = {row.name for row in rows}
+        exchanges = [self._enter(row, together) for row in rows]
+        told = {exchange.exchange_id for exchange in exchanges}
+        if kind is face.ListKind.CHANGES:
+            displaced = (self.listed[name] for name in self.displaced)
+            exchanges += [row for row in map(self._as_gone, displaced) if row.exchange_id not in told]
+        self.consult(face.ExchangeList(kind, tuple(exchanges)))
+
+    def _as_gone(self, row: Listing) -> face.Exchange:
+        return replace(row.as_exchange(self.exchange_ids[row.name]), state=face.ExchangeState.GONE)
+
+    def _enter(self, row: Listing, together: set[str]) -> face.Exchange:
+        """Take one entry; together are the names that discovery tells of in the same event."""
         exchange_id = self.exchange_ids.get(row.name)
         if exchange_id is None:
             exchange_id = self.exchange_ids[row.name] = next(self.next_exchange_id)
@@ -203,13 +213,31 @@
             switch = None
         if switch and known and row.started_ns and row.started_ns != known.started_ns:
             switch.restarted(row.started_ns)
+        if known is None or known.address != row.address:
+            self.displaced.discard(row.name)
+            self._displace_others(row, together)
         self.listed[row.name] = row
+        if row.name in self.displaced:
+            return self._as_gone(row)
         if switch is None and row.number != self.settings.own_exchange:
             self.switches[exchange_id] = self.make_switch(
                 row.name, row.address, lambda report: self._group_report(exchange_id, report)
             )
         return row.as_exchange(exchange_id)
 
+    def _displace_others(self, row: Listing, together: set[str]) -> None:
+        """Guards against calls that stand, and set-ups that are sent, at the address of a switch which has gone
+        without discovery's word, once another one is listed there."""
+        for other in self.listed.values():
+            older = (other.started_ns or 0) <= (row.started_ns or 0)
+            if other.name in together or other.address != row.address or not older:
+                continue
+            self.displaced.add(other.name)
+            if switch := self.switches.pop(self.exchange_ids[other.name], None):
+                self.log("warning", "list", "the address is taken", switch=other.name, by=row.name)
+                switch.closed_to_new()
+                switch.retire(EndReason.ADDRESS_TAKEN)
+
     def _log_listing(self, row: Listing, known: Listing | None) -> None:
         """A line for each entry that is not as it was, so that its effects can be traced to it."""
         if row == known:
@@ -224,6 +252,7 @@
 
     def _unlist(self, name: str) -> None:
         self.listed.pop(name, None)
+        self.displaced.discard(name)
         exchange_id = self.exchange_ids.pop(name, -1)
         self.names.pop(exchange_id, None)
         self.reports.pop(exchange_id, None)
--- a/tansyspur/core/ports.py
+++ b/tansyspur/core/ports.py
@@ -60,6 +60,8 @@
     CONNECTION_LOST = "connection_lost"  # under the set-up
     CONNECTION_REFUSED = "connection_refused"  # nothing runs at the switch's address
     NO_CONNECTION = "no_connection"  # none came up in time
+    SWITCH_SILENT = "switch_silent"  # no sign of the process that held the call for too long
+    ADDRESS_TAKEN = "address_taken"  # another switch is listed at its address
     SWITCH_RESTARTED = "switch_restarted"  # as discovery told
     SWITCH_REMOVED = "switch_removed"  # as discovery told
     DRAINED = "drained"  # discovery told of a drain before the set-up had left
@@ -150,8 +152,8 @@
     def restarted(self, at_ns: int) -> None:
         """Its process started then: what was sent to the one before it is over, told or not."""
 
-    def retire(self) -> None:
-        """It is gone: nothing new comes; close as soon as no call is left."""
+    def retire(self, reason: EndReason = EndReason.SWITCH_REMOVED) -> None:
+        """It is gone: what stands there is cut, and nothing more is sent to its address."""
 
     def close(self) -> None: ...
 
--- a/tansyspur/faults/proxy.py
+++ b/tansyspur/faults/proxy.py
@@ -21,15 +21,16 @@
 
     NONE = "none"
     SILENT = "silent"  # new connections never come up, open ones bring nothing more
+    HANG = "hang"  # new connections come up, but neither they nor open ones bring anything more
     REFUSE = "refuse"  # new connections are refused, open ones go on
 
 
 class ProxiedConnection:
     """Two joined sockets, each direction copied by a task."""
 
-    def __init__(self, client: asyncio.StreamWriter, server: asyncio.StreamWriter) -> None:
+    def __init__(self, client: asyncio.StreamWriter, server: asyncio.StreamWriter, silent: bool) -> None:
         self.client, self.server = client, server
-        self.silent = False  # for good: what was sent into it is gone
+        self.silent = silent  # for good: what was sent into it is gone
 
     def reset(self) -> None:
         self.client.transport.abort()
@@ -60,11 +61,12 @@
             return
         self._stop_listening()
         self.fault = fault
-        if fault is Fault.SILENT:
+        if fault in (Fault.SILENT, Fault.HANG):
             self.silence_connections()
+        if fault is Fault.SILENT:
             self._open_blackhole()
             await asyncio.sleep(FILL_S)
-        elif fault is Fault.NONE:
+        elif fault in (Fault.NONE, Fault.HANG):
             await self._listen()
 
     def silence_connections(self) -> None:
@@ -112,7 +114,7 @@
         except OSError:
             writer.transport.abort()
             return
-        connection = ProxiedConnection(writer, far_writer)
+        connection = ProxiedConnection(writer, far_writer, self.fault is Fault.HANG)
         self.connections.append(connection)
         for source, sink in ((reader, far_writer), (far_reader, writer)):
             task = asyncio.create_task(self._copy(connection, source, sink))
--- a/tansyspur/iax2/back.py
+++ b/tansyspur/iax2/back.py
@@ -5,7 +5,15 @@
 from collections.abc import Callable
 
 from tansyspur import interface as face
-from tansyspur.core.ports import NORMAL_CLEARING, TIMER_EXPIRED, Ended, SetUpRequest, Stood, SwitchSignal
+from tansyspur.core.ports import (
+    NORMAL_CLEARING,
+    TIMER_EXPIRED,
+    Ended,
+    EndReason,
+    SetUpRequest,
+    Stood,
+    SwitchSignal,
+)
 from tansyspur.iax2 import causes
 from tansyspur.iax2.auth import Peer, Registrar, answer_to
 from tansyspur.iax2.frames import (
@@ -208,17 +216,18 @@
                 attempt.end(Ended(face.Outcome.CUT))
 
     def restarted(self, at_ns: int) -> None:
-        self._cut([attempt for attempt in self.attempts if attempt.sent_ns < at_ns])
+        before = [attempt for attempt in self.attempts if attempt.sent_ns < at_ns]
+        self._cut(before, EndReason.SWITCH_RESTARTED)
 
-    def retire(self) -> None:
-        self._cut(list(self.attempts))
+    def retire(self, reason: EndReason = EndReason.SWITCH_REMOVED) -> None:
+        self._cut(list(self.attempts), reason)
         self.close()
 
-    def _cut(self, attempts: list[Attempt]) -> None:
+    def _cut(self, attempts: list[Attempt], reason: EndReason) -> None:
         for attempt in attempts:
             if attempt.leg:
                 attempt.leg.finish(Iax.HANGUP, (IE.CAUSECODE, bytes([TIMER_EXPIRED])))
-            attempt.end(Ended(face.Outcome.CUT))
+            attempt.end(Ended(face.Outcome.CUT, reason=reason))
 
     def close(self) -> None:
         self.retired = True
--- a/tansyspur/net/channel.py
+++ b/tansyspur/net/channel.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import math
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -16,6 +17,7 @@
 LONGEST_EVENT = 256 * 1024  # a whole list is one event, and may be longer than other messages
 DIAL_S = 1.0
 REDIAL_S = 0.25
+STEADY_GAP_S = 3.0  # a longer time without a line shows that discovery may have missed something
 STATES = {
     "up": face.ExchangeState.IN_SERVICE,
     "draining": face.ExchangeState.DRAINING,
@@ -59,6 +61,9 @@
         self.current = asyncio.Event()  # the channel has told a number that we have reached
         self.lost_at: float | None = None  # since when there is no connection
         self.dials = 0  # that failed since then
+        self.heard_since = (
+            self.heard_at
+        ) = -math.inf  # when the last row of lines without a gap began, and its end
 
     def start(self) -> None:
         if self.address:
@@ -101,9 +106,22 @@
                 self.log("warning", "channel", str(error), cursor=cursor)
         self.on_list(face.ListKind.WHOLE if nodes.get("snapshot") else face.ListKind.CHANGES, rows)
 
+    @property
+    def steady_since(self) -> float | None:
+        """Since when lines have come without a gap, in the loop's time; None if none comes now."""
+        now = asyncio.get_running_loop().time()
+        return self.heard_since if now - self.heard_at <= STEADY_GAP_S else None
+
+    def _note_heard(self) -> None:
+        now = asyncio.get_running_loop().time()
+        if now - self.heard_at > STEADY_GAP_S:
+            self.heard_since = now
+        self.heard_at = now
+
     def _line(self, text: memoryview) -> None:
         if not text.tobytes().strip():
             return
+        self._note_heard()
         try:
             row = json.loads(str(text, "utf-8"))
         except (ValueError, RecursionError):
--- a/tansyspur/net/sip.py
+++ b/tansyspur/net/sip.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import math
 import re
 import time
 from collections.abc import Callable
@@ -9,6 +10,7 @@
 
 from tansyspur import interface as face
 from tansyspur.core.figures import Figures
+from tansyspur.core.lease import StandingLeases
 from tansyspur.core.ports import NORMAL_CLEARING, Ended, EndReason, SetUpRequest, Stood, SwitchSignal
 from tansyspur.net.framing import LONGEST, Chunks, FramingError
 from tansyspur.net.link import Link
@@ -18,6 +20,7 @@
 ABORT_S = 0.02
 REST_S = 0.2  # a message that has begun is whole by then
 MOST_GIVEN_UP = 1000
+MOST_KEPT_BYES = 1000
 START = re.compile(r"SIP/2\.0 [1-6][0-9]{2}(?: .*)?|[A-Z]{1,16} \S+ SIP/2\.0")
 HEADER = re.compile(r"[!-9;-~]+[ \t]*:.*")
 # As callers and switches describe a call: a word of its own, then lines of SDP (RFC 4566).
@@ -30,6 +33,8 @@
 DOUBT_S, PONG_S = 0.1, 0.25
 WATCH_S = 0.05
 FIRST_REDIAL_S, LONGEST_REDIAL_S = 0.1, 2.0
+REFRESH_S = 4.0  # between connections that are opened for releases which may have been lost
+LATE_TIMER_S = 0.25  # a timer that is later than this shows that this process did not run
 COMPACT = {"i": "call-id", "l": "content-length", "v": "via", "f": "from", "t": "to", "m": "contact"}
 SINGLE = ("call-id", "cseq", "content-length")
 CAUSES = {
@@ -154,6 +159,7 @@
         self.link: Link | None = None  # that of its set-up
         self.sent_at, self.sent_ns = 0.0, 0
         self.stands = self.over = False
+        self.stranded = False  # its connection fell silent: the switch may still send there
         self.dial_timer: asyncio.TimerHandle | None = None
         self.expires_at = switch.loop.time() + order.wait_ms / 1000
 
@@ -214,7 +220,9 @@
         log: Log,
         dial_timeout_s: float,
         figures: Figures,
+        discovery_steady_since: Callable[[], float | None],
     ) -> None:
+        self.discovery_steady_since = discovery_steady_since
         self.name, self.on_report, self.log, self.figures = name, on_report, log, figures
         self.host, _, port = address.rpartition(":")
         self.port = int(port)
@@ -224,6 +232,8 @@
         self.legs: dict[str, SipLeg] = {}  # waiting, out or standing, by Call-ID
         self.waiting: list[SipLeg] = []
         self.byes: dict[str, bytes] = {}  # releases that found no connection
+        # Releases written since a connection was last heard: they go out again if it ends without a word.
+        self.unconfirmed_byes: dict[Link, dict[str, bytes]] = {}
         self.asked: dict[Link, float] = {}  # links that owe a sign of life, and since when
         self.given_up: dict[str, None] = {}  # Call-IDs of attempts given up of late: an answer may still come
         self.probes: dict[str, Callable[[face.Outcome, face.Report | None], None]] = {}
@@ -235,6 +245,11 @@
         self.keeper = self.loop.create_task(self._keep(), name=f"switch {name}")
         self.keeper.add_done_callback(self._keeper_done)
         self.tasks: set[asyncio.Task[None]] = set()
+        self.leases = StandingLeases()
+        self.lease_timer: asyncio.TimerHandle | None = None
+        # A release may be lost with its connection: the switch sends it again on the next one that opens.
+        self.unheard_since: float | None = None  # a connection under standing calls ended then
+        self.dialled_at = -math.inf
         self.ever_dialled = asyncio.Event()
 
     # What the core asks
@@ -248,7 +263,9 @@
     ) -> SipLeg:
         leg = SipLeg(self, order, may_send, written, tell)
         self.legs[leg.call_id] = leg
-        self.byes.pop(leg.call_id, None)  # it would release this attempt in place of the one before
+        # They would release this attempt in place of the one before.
+        for byes in (self.byes, *self.unconfirmed_byes.values()):
+            byes.pop(leg.call_id, None)
         self.given_up.pop(leg.call_id, None)
         link = self._usable()
         if link:
@@ -287,18 +304,21 @@
             self.forget(leg)
             leg.tell(Ended(face.Outcome.CUT, reason=EndReason.SWITCH_RESTARTED))
 
-    def retire(self) -> None:
+    def retire(self, reason: EndReason = EndReason.SWITCH_REMOVED) -> None:
         """The switch is gone: the calls that stand there are cut, and whatever is out is given up."""
         self.retired = True
-        for leg in [leg for leg in self.legs.values() if leg.stands]:
-            self.bye(leg.call_id, NORMAL_CLEARING, leg.link)  # should it live on, it must not keep them
-        self._cut_all(EndReason.SWITCH_REMOVED)
+        if reason is not EndReason.ADDRESS_TAKEN:
+            for leg in [leg for leg in self.legs.values() if leg.stands]:
+                self.bye(leg.call_id, NORMAL_CLEARING, leg.link)  # should it live on, it must not keep them
+        self._cut_all(reason)
         self.close()
 
     def close(self) -> None:
         self.retired = True
         self.ever_dialled.set()  # nobody need wait for it
         self.keeper.cancel()
+        if self.lease_timer:
+            self.lease_timer.cancel()
         for link in list(self.links):
             link.writer.close() if not link.unsent else link.abort()
 
@@ -325,16 +345,58 @@
             if self.asked.get(link, now) < link.heard_at:
                 del self.asked[link]
             if link in self.asked:
-                if now - self.asked[link] > PONG_S:
+                # Guards against taking a pause of our own for silence: what has come is not read yet.
+                if now - self.asked[link] > PONG_S and not link.unread:
                     self.log(
                         "warning", "sip", "a silent connection was closed", switch=self.name,
                         link=link.number, silent_ms=int((now - link.heard_at) * 1000),
                     )  # fmt: skip
+                    for leg in self.legs.values():
+                        leg.stranded = leg.stranded or leg.link is link
                     link.abort()
             elif now - link.heard_at > used.get(link, IDLE_S):
                 self.asked[link] = now
                 link.write(request("OPTIONS", "ping", f"ping-{next(self.probe_ids)}", 1))
 
+    # Leases of the calls that stand
+
+    def _arm_lease_timer(self) -> None:
+        """At the time at which the first lease runs out if nothing more is heard."""
+        due = self.leases.next_expiry()
+        if self.lease_timer is None and due is not None:
+            self.lease_timer = self.loop.call_at(due, self._lease_due, due)
+
+    def _lease_due(self, due: float) -> None:
+        now = self.loop.time()
+        if now - due > LATE_TIMER_S:
+            # Guards against taking a pause of our own for silence: what came meanwhile is read first. Once
+            # only, as a process that is always late still owes the ends of calls.
+            self.lease_timer = self.loop.call_later(LATE_TIMER_S, self._lease_due, math.inf)
+            return
+        self.lease_timer = None
+        self._cut_expired()
+        self._arm_lease_timer()
+
+    def _cut_expired(self) -> None:
+        """Guards against calls that stand for ever on a switch which vanished while nobody could tell."""
+        expired = self.leases.expired(self.loop.time(), self.discovery_steady_since())
+        legs = [leg for call_id in expired if (leg := self.legs.get(call_id))]
+        if legs:
+            self.log(
+                "warning", "sip", "calls without a sign of life are over", switch=self.name, calls=len(legs)
+            )
+        for leg in legs:
+            self.forget(leg)
+            self.bye(leg.call_id, NORMAL_CLEARING, None)  # should it live on, it must not keep the call
+            leg.tell(Ended(face.Outcome.CUT, reason=EndReason.SWITCH_SILENT))
+
+    def _wants_fresh_connection(self) -> bool:
+        """Whether a release may have been lost that the switch sends again on a new connection only."""
+        if self.unheard_since is not None:
+            return True
+        stranded = any(leg.stranded and leg.stands for leg in self.legs.values())
+        return stranded and self.loop.time() - self.dialled_at > REFRESH_S
+
     @property
     def reached(self) -> bool:
         return any(not link.closed for link in self.links)
@@ -359,17 +421,19 @@
 
     async def _keep(self) -> None:
         """Keeps one usable connection, as the state of the group comes over it."""
-        redial_s = FIRST_REDIAL_S
+        redial_s, refresh_at = FIRST_REDIAL_S, -math.inf
         while not self.retired:
             self.wanted.clear()
             self._watch()
             self._note_reach()
-            if self._usable() is None or self.waiting:
+            wait_s = WATCH_S
+            urgent = self._usable() is None or bool(self.waiting)
+            if urgent or (self._wants_fresh_connection() and self.loop.time() >= refresh_at):
                 redial_s = FIRST_REDIAL_S if await self._dial() else min(LONGEST_REDIAL_S, redial_s * 2)
                 self.ever_dialled.set()
-                wait_s: float | None = redial_s
-            else:
-                wait_s = WATCH_S
+                refresh_at = self.loop.time() + redial_s
+                # Guards against not watching the connections that are in use.
+                wait_s = redial_s if urgent else WATCH_S
             try:
                 async with asyncio.timeout(wait_s):
                     await self.wanted.wait()
@@ -383,9 +447,11 @@
     async def _dial(self) -> bool:
         """One more connection; whether it came up. Those waiting are served, or refused with the dial."""
         if len(self.links) >= MOST_CONNECTIONS:
-            min(self.links, key=lambda link: link.heard_at).abort()
+            carrying = {leg.link for leg in self.legs.values()}
+            min(self.links, key=lambda link: (link in carrying, link.heard_at)).abort()
             # Guards against a fifth connection: the old one is closed in the loop's next turn only.
             await asyncio.sleep(ABORT_S)
+        started = self.loop.time()
         try:
             async with asyncio.timeout(self.dial_timeout_s):
                 reader, writer = await asyncio.open_connection(self.host, self.port)
@@ -399,12 +465,14 @@
             return False
         link = Link(reader, writer)
         self.links.append(link)
+        self.leases.connected(link, self.loop.time())
+        self.dialled_at = self.loop.time()
+        if self.unheard_since is not None and self.unheard_since <= started:
+            self.unheard_since = None
         task = self.loop.create_task(self._read(link), name=f"link to {self.name}")
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
-        byes, self.byes = self.byes, {}
-        for message in byes.values():
-            link.write(message)
+        self._send_kept_byes()
         waiting, self.waiting = self.waiting, []
         for leg in waiting:
             leg.send(link)
@@ -414,6 +482,8 @@
         spoilt = ""
 
         def take(chunks: Chunks) -> bool:
+            self.leases.heard(link, link.heard_at)
+            self.unconfirmed_byes.pop(link, None)
             taken = False
             while not link.closed and (message := parse(chunks)):
                 self._heard(link, message)
@@ -437,6 +507,11 @@
             link.abort()
             self.links.remove(link)
             self.asked.pop(link, None)
+            self.leases.disconnected(link)
+            for call_id, message in self.unconfirmed_byes.pop(link, {}).items():
+                self._keep_bye(call_id, message)
+            if any(leg.link is link and leg.stands for leg in self.legs.values()):
+                self.unheard_since = self.loop.time()
             # The set-ups open on a connection are given up when it closes.
             cut = [leg for leg in self.legs.values() if leg.link is link and not leg.stands]
             for leg in cut:
@@ -451,6 +526,7 @@
                 if not self.retired:
                     self.bye(leg.call_id, NORMAL_CLEARING, None)
                 leg.tell(Ended(face.Outcome.CUT, reason=EndReason.CONNECTION_LOST))
+            self._send_kept_byes()
             self.wanted.set()
 
     def _cut_all(self, reason: EndReason) -> None:
@@ -466,6 +542,7 @@
     def forget(self, leg: SipLeg) -> None:
         if self.legs.get(leg.call_id) is leg:
             del self.legs[leg.call_id]
+            self.leases.over(leg.call_id)
         if leg in self.waiting:
             self.waiting.remove(leg)
 
@@ -473,13 +550,31 @@
         """Release a call that stands, on the connection of its set-up or else on any."""
         message = request("BYE", call_id, call_id, INVITE_CSEQ + 1, f"Reason: Q.850;cause={cause}")
         if link is None or link.closed or link.unsent:
-            link = self._usable() or next((one for one in self.links if not one.closed), None)
+            link = self._open_link()
         if link:
-            link.write(message)
-        elif len(self.byes) < 1000:
-            self.byes[call_id] = message
+            self._write_bye(link, call_id, message)
+        else:
+            self._keep_bye(call_id, message)
             self.wanted.set()
 
+    def _send_kept_byes(self) -> None:
+        link = self._open_link()
+        if link:
+            byes, self.byes = self.byes, {}
+            for call_id, message in byes.items():
+                self._write_bye(link, call_id, message)
+
+    def _open_link(self) -> Link | None:
+        return self._usable() or next((one for one in self.links if not one.closed), None)
+
+    def _write_bye(self, link: Link, call_id: str, message: bytes) -> None:
+        link.write(message)
+        self.unconfirmed_byes.setdefault(link, {})[call_id] = message
+
+    def _keep_bye(self, call_id: str, message: bytes) -> None:
+        if not self.retired and len(self.byes) < MOST_KEPT_BYES:
+            self.byes[call_id] = message
+
     # What the switch says
 
     def _heard(self, link: Link, message: Message) -> None:
@@ -528,6 +623,8 @@
             return
         if status < 300:
             leg.stands = True
+            self.leases.stands(leg.call_id, link)
+            self._arm_lease_timer()
             return leg.tell(Stood(stands))
         self.forget(leg)
         outcome = REFUSALS.get(status, face.Outcome.FAULT)
@@ -541,6 +638,7 @@
         leg = self.legs.get(message.call_id)
         if leg is None or not leg.stands:
             return  # told again, or it crossed our own release
+        self.leases.released(leg.call_id, link)
         self.forget(leg)
         found = re.search(r"cause\s*=\s*([0-9]{1,3})", message.headers.get("reason", ""))
         cut = found is not None and int(found.group(1)) != 16
--- a/tests/test_silent_switch.py
+++ b/tests/test_silent_switch.py
@@ -56,3 +56,110 @@
         for call in kept:
             there.bye(call)
             assert (await caller.next(call))["type"] == "release"
+
+
+async def cut_discovery_off(world):
+    await world.channel_proxy.set_fault(Fault.REFUSE)
+    world.channel_proxy.reset_connections()
+
+
+@program
+async def test_a_switch_that_is_back_after_a_partition_keeps_its_calls():
+    # Guards against cutting what still stands: the release of one call shows that the process is the same.
+    switch = Switch("s-1", 1)
+    async with World(switch, proxied=True) as world:
+        caller = await world.caller()
+        first, *others = await standing(caller, 1, 3)
+        await cut_discovery_off(world)
+        await switch.proxy.set_fault(Fault.SILENT)
+        switch.untold[first] = 16
+        await asyncio.sleep(4)
+        await switch.proxy.set_fault(Fault.NONE)
+        assert set(await releases(caller, QUIET_S)) == {first}
+        for call in others:
+            switch.bye(call, writer=switch.writers[-1])
+            assert (await caller.next(call))["type"] == "release"
+
+
+@pytest.mark.parametrize("away_s", [0, 3])
+@program
+async def test_another_process_at_the_address_holds_none_of_the_calls_from_before(away_s):
+    # A process that dies resets its connections; a machine that vanishes does not.
+    switch = Switch("s-1", 1)
+    async with World(switch, proxied=True) as world:
+        caller = await world.caller()
+        over = await standing(caller, 1, 3)
+        await cut_discovery_off(world)
+        successor = await world.add(Switch("s-1", 1))
+        switch.proxy.target = successor.port
+        if away_s:
+            await switch.proxy.set_fault(Fault.SILENT)
+            began = asyncio.get_running_loop().time()
+            await asyncio.sleep(away_s)
+            await switch.proxy.set_fault(Fault.NONE)
+        else:
+            switch.proxy.reset_connections()
+            began = asyncio.get_running_loop().time()
+        left = began + TOLD_S - asyncio.get_running_loop().time()
+        assert set(await releases(caller, left)) == set(over)
+        (fresh,) = await standing(caller, 1, 1)
+        assert await releases(caller, 1) == {}
+        successor.bye(fresh)
+
+
+@program
+async def test_a_hung_switch_loses_its_calls_though_its_connections_come_up():
+    switch = Switch("s-1", 1)
+    async with World(switch, proxied=True) as world:
+        caller = await world.caller()
+        over = await standing(caller, 1, 3)
+        await switch.proxy.set_fault(Fault.HANG)  # discovery is there, and sees a process that runs
+        assert set(await releases(caller, TOLD_S)) == set(over)
+        # Released at the switch too, should it ever come back.
+        await switch.proxy.set_fault(Fault.NONE)
+        heard = {(await switch.next("BYE"))[1] for _ in over}
+        assert heard == set(over)
+
+
+@program
+async def test_a_reset_connection_costs_no_call_while_discovery_is_heard():
+    switch = Switch("s-1", 1)
+    async with World(switch, proxied=True) as world:
+        caller = await world.caller()
+        await asyncio.sleep(1.5)  # discovery has said that it is there
+        calls = await standing(caller, 1, 3)
+        switch.proxy.reset_connections()
+        assert await releases(caller, QUIET_S) == {}
+        for call in calls:
+            switch.bye(call, writer=switch.writers[-1])
+            assert (await caller.next(call))["type"] == "release"
+
+
+@program
+async def test_a_release_into_a_silent_connection_is_heard_on_one_that_is_opened_for_it():
+    # The switch believes the silent connection to be open, and sends there what concerns its calls.
+    switch = Switch("s-1", 1)
+    async with World(switch, proxied=True) as world:
+        caller = await world.caller()
+        early, late = await standing(caller, 1, 2)
+        switch.proxy.silence_connections()
+        for call, seconds in ((early, 0.0), (late, 2.0)):
+            await asyncio.sleep(seconds)
+            switch.bye(call)
+            switch.untold[call] = 16
+            assert set(await releases(caller, 6)) == {call}
+
+
+@program
+async def test_calls_on_a_switch_whose_address_another_one_takes_are_over_at_once():
+    # Discovery tells of the newcomer first, and of the one that has gone much later.
+    old = Switch("s-old", 1)
+    async with World(old, proxied=True) as world:
+        caller = await world.caller()
+        over = await standing(caller, 1, 2)
+        new = await world.add(Switch("s-new", 1))
+        new.proxy, old.proxy.target = old.proxy, new.port
+        world.channel.event(new.entry())
+        assert set(await releases(caller, 2)) == set(over)
+        await standing(caller, 1, 1)
+        assert old.count("INVITE") == 2 and new.count("INVITE") == 1 and new.count("BYE") == 0
--- a/tests/world.py
+++ b/tests/world.py
@@ -56,6 +56,7 @@
         self.log = []  # the same, for assertions, with the time
         self.writers, self.origin, self.chop = [], {}, 0
         self.out, self.with_refusal = set(), "X-Any: 1"
+        self.untold = {}  # releases that are sent again on the next connection that opens
         self.proxy = None  # through which the program reaches it, if any
         self.mute = []  # connections on which nothing more is sent
 
@@ -77,6 +78,8 @@
     async def serve(self, reader, writer):
         self.writers.append(writer)
         self.notify(writer)
+        for call_id, cause in self.untold.items():
+            self.bye(call_id, cause, writer)
         with contextlib.suppress(OSError, asyncio.IncompleteReadError):
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
