Related paths of the incident: IAX2 legs, ends before the kill, and drains keep their calls

Cause and change, each: - transport.py asked a standing IAX2 leg every 20 s and gave up 7.75 s later, 27.75 s in all: now every 3 s, lost after the 7 s of a lease. - __main__.py waited max(3 s, longest deadline) + 0.3 s after SIGTERM, 9.3 s with a deadline of 9 s, though SIGKILL may come after min(3 s, ...) + 0.7 s = 3.7 s: calls that stood were released to nobody. Now min, and 0.45 s before the kill. - A pause closed the connections that calls stand on, and their ends waited for callers to come back. By the operators' term on drains such a connection now stays until they are told, and new set-ups on it are refused; the same holds while the process ends alone. A connection with a message begun is not closed as idle. - An owed release was dropped after 8 s; it waits 120 s now, as the caller holds its call until it is told. - lease.py: a process run vouches for the next one only, not for whichever answers at the end (reset, back at once, then lost for 5 s and back as another process: the call was kept). - A switch under standing calls is redialled within 0.4 s, so that it can show in time that it is the same. Tests: test_paused_it_sends_callers_away asserted that a connection is closed though a call on it stands, which the new term forbids; it now asserts that the empty ones are closed, and a new test that the other is kept, refuses, tells and is closed. One more: with longest deadlines of 0.4, 1, 3 and 9 s, a hung switch and callers that go on sending, every end is told before the earliest kill.

--- a/tansyspur/__main__.py
+++ b/tansyspur/__main__.py
@@ -35,13 +35,20 @@
 if TYPE_CHECKING:
     from tansyspur.cdr.export import CdrFile
 
-ACCEPT_S = 0.8  # after SIGTERM, connections and requests keep coming for 0.6 s
-EXIT_MARGIN_S = 0.4  # before the time at which SIGKILL may come
-LONGEST_REPLACED_S = 5.0  # counted as the longest deadline, where another process takes the calls
+ACCEPT_S = 0.6  # after SIGTERM, new connections keep coming for 0.4 s
+EXIT_MARGIN_S = 0.45  # before the time at which SIGKILL may come: for the last words, and for the end itself
+KILL_AFTER_DEADLINE_S = 0.7  # SIGKILL comes no sooner after the longest deadline
+LONGEST_COUNTED_S = 3.0  # a longer deadline counts as this one
+LONGEST_REPLACED_S = 5.0  # or as this one, where another process takes the calls
 CURRENT_S = 2.5  # for the command channel's first number, which comes each second
 READY_S = 1.5  # a switch that cannot be dialled must not keep the gatekeeper from its test for longer
 
 
+def earliest_kill_s(longest_deadline_s: float, counted_s: float = LONGEST_COUNTED_S) -> float:
+    """How long after SIGTERM the platform's SIGKILL may come at the earliest."""
+    return min(counted_s, longest_deadline_s) + KILL_AFTER_DEADLINE_S
+
+
 class Program:
     """The parts, wired; and how they start, change, and end."""
 
@@ -294,7 +301,7 @@
             self.front.stop_sending_away()  # of a pause, which keeps a connection for longer
             self.front.send_away()
             self.endpoint.on_new = turn_away
-            until = stopped + min(LONGEST_REPLACED_S, longest_s) + 0.7 - EXIT_MARGIN_S
+            until = stopped + earliest_kill_s(longest_s, LONGEST_REPLACED_S) - EXIT_MARGIN_S
             await gatekeeper.finish(until - self.loop.time(), keep_standing=True)
             # Guards against set-ups that come, and go down with us, on a connection never without one.
             self.front.send_off()
@@ -308,8 +315,11 @@
             # Guards against connections that come up in a queue which nobody serves any more.
             self.sockets["callers"].close()
             self.endpoint.on_new = turn_away
-            until = stopped + max(3.0, longest_s) + 0.7 - EXIT_MARGIN_S
+            self.front.stop_sending_away()  # of a pause, which ends what is open later than the kill
+            self.front.send_away(keeps_standing=True)
+            until = stopped + earliest_kill_s(longest_s) - EXIT_MARGIN_S
             await gatekeeper.finish(until - self.loop.time())
+        self.front.stop_sending_away()
         self.front.send_off()
         gatekeeper.close()
         self.peers.close()
--- a/tansyspur/core/gatekeeper.py
+++ b/tansyspur/core/gatekeeper.py
@@ -176,6 +176,13 @@
         call.task = self.spawn(self._serve(call), f"call {offer.wire_id}")
         return call
 
+    def turn_away(self, offer: Offer, caller: CallerLeg) -> None:
+        """Refuse a call unheard: its connection stays for the calls that stand on it, and takes no new one."""
+        caller.refuse(ports.CONGESTION, self.settings.max_retry_advice_ns // 1_000_000)
+        self.figures.ended(Verdict.BUSY, offer.class_name)
+        self.log("info", "call", "turned away", call=offer.wire_id, service=self.service)
+        self._unheard(offer, "refused")
+
     def list_changed(self, kind: face.ListKind, rows: Iterable[Listing]) -> None:
         rows = list(rows)
         if kind is not face.ListKind.CHANGES:
--- a/tansyspur/core/lease.py
+++ b/tansyspur/core/lease.py
@@ -30,8 +30,8 @@
     """A process of the switch, as far as it can be told from outside."""
 
     confirmed_at: float  # the last sign of life
-    heard: bool = False  # that there was one; a connection alone may come from the kernel of a hung process
-    returned_at: float | None = None  # since when another connection, perhaps of another process, is heard
+    returned_at: float | None = None  # when another connection was first heard after that
+    successor: "ProcessRun | None" = None  # whose connection that was; perhaps the same process
 
 
 @dataclass(eq=False, slots=True)
@@ -55,10 +55,10 @@
     def heard(self, link: Hashable, now: float) -> None:
         """Bytes have come on this connection."""
         run = self._connections[link].run
-        run.confirmed_at, run.heard, run.returned_at = now, True, None
+        run.confirmed_at, run.returned_at, run.successor = now, None, None
         for other in self._runs():
             if other is not run and other.returned_at is None:
-                other.returned_at = now
+                other.returned_at, other.successor = now, run
         for connection in list(self._connections.values()):
             if connection.run is not run and connection.opened_at <= now - OVERLAP_S:
                 self._merge(connection.run, run)
@@ -86,10 +86,10 @@
 
     def expired(self, now: float, discovery_steady_since: float | None) -> list[str]:
         """The calls to be taken for over. discovery_steady_since: since when discovery is heard without a gap."""
-        current = self._current(now)
         for run in {run for run in self._calls.values() if run.confirmed_at + LEASE_S <= now}:
-            if current is not None and self._vouched(run, discovery_steady_since):
-                self._merge(run, current)
+            # A successor may have ended as well, and has a successor of its own then.
+            while run.confirmed_at + LEASE_S <= now and self._vouched(run, discovery_steady_since):
+                run = self._merge_into_successor(run)
         return [call_id for call_id, run in self._calls.items() if run.confirmed_at + LEASE_S <= now]
 
     def unconfirmed(self, now: float, seconds: float) -> int:
@@ -97,22 +97,24 @@
         return sum(run.confirmed_at + seconds <= now for run in self._calls.values())
 
     def _vouched(self, run: ProcessRun, discovery_steady_since: float | None) -> bool:
+        """Whether its successor is taken for the same process."""
         if run.returned_at is None or run.returned_at - run.confirmed_at > PROMPT_RETURN_S:
             return False
         return discovery_steady_since is not None and discovery_steady_since <= run.confirmed_at
 
-    def _current(self, now: float) -> ProcessRun | None:
-        """The process that answers now."""
-        runs = [connection.run for connection in self._connections.values() if connection.run.heard]
-        latest = max(runs, key=lambda run: run.confirmed_at, default=None)
-        return latest if latest is not None and latest.confirmed_at + LEASE_S > now else None
+    def _merge_into_successor(self, run: ProcessRun) -> ProcessRun:
+        assert run.successor is not None  # it was vouched for
+        self._merge(run, run.successor)
+        return run.successor
 
     def _runs(self) -> set[ProcessRun]:
         return {*self._calls.values(), *(connection.run for connection in self._connections.values())}
 
     def _merge(self, run: ProcessRun, into: ProcessRun) -> None:
         into.confirmed_at = max(into.confirmed_at, run.confirmed_at)
-        into.heard = into.heard or run.heard
+        for other in self._runs():
+            if other.successor is run:
+                other.successor = into
         for connection in self._connections.values():
             if connection.run is run:
                 connection.run = into
--- a/tansyspur/iax2/back.py
+++ b/tansyspur/iax2/back.py
@@ -125,7 +125,8 @@
 
     def lost(self, leg: Leg, reason: str) -> None:
         self.switch.log("notice", "iax2", f"attempt lost: {reason}", call=self.wire_id)
-        self.end(Ended(face.Outcome.CUT))
+        why = EndReason.SWITCH_SILENT if self.stands else EndReason.CONNECTION_LOST
+        self.end(Ended(face.Outcome.CUT, reason=why))
 
     # What the core says
 
--- a/tansyspur/iax2/transport.py
+++ b/tansyspur/iax2/transport.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import Protocol, cast
 
+from tansyspur.core.lease import LEASE_S
 from tansyspur.iax2.frames import (
     IE,
     MOST_CALL_NUMBER,
@@ -21,8 +22,9 @@
     number_of,
 )
 
+LATE_TIMER_S = 0.25  # a timer that is later than this shows that this process did not run
 FIRST_RETRY_S, LONGEST_RETRY_S, MOST_RETRIES = 0.25, 10.0, 4  # the RFC's four retries, doubling
-PING_S = 20.0
+PING_S = 3.0  # the RFC leaves it open; an unanswered one must show well within the lease
 KNOWN = frozenset(int(subclass) for subclass in Iax)
 LINGER_S = 15.0  # a leg that has ended still acknowledges repeats for so long: none becomes a new call
 MOST_LEGS = 4_000
@@ -59,6 +61,8 @@
         self.first_data: bytes | None = None  # of the NEW that made it, to know its repeats by
         self.closing = self.closed = False
         self.ping_timer: asyncio.TimerHandle | None = None
+        self.heard_at = self.started
+        self.next_ping_at = self.ping_due_at = 0.0
 
     # Sending
 
@@ -109,14 +113,26 @@
         self.endpoint.send(frame.encode(), self.address)
 
     def keep_alive(self) -> None:
-        """PING for as long as the leg lives; unanswered, its repeats end the leg."""
-        if not self.closed and not self.closing:
+        """PING for as long as the leg lives. One from which nothing is heard for the length of a lease is lost."""
+        if self.closed or self.closing:
+            return
+        now = self.loop.time()
+        expires_at = self.heard_at + LEASE_S
+        if expires_at <= now:
+            if now - self.ping_due_at <= LATE_TIMER_S:
+                return self.give_up("no sign of life")
+            # Guards against taking a pause of our own for silence: what came meanwhile is read first.
+            expires_at = now + LATE_TIMER_S
+        if now >= self.next_ping_at:
             self.iax(Iax.PING)
-            self.ping_timer = self.loop.call_later(PING_S, self.keep_alive)
+            self.next_ping_at = now + PING_S
+        self.ping_due_at = min(self.next_ping_at, expires_at)
+        self.ping_timer = self.loop.call_at(self.ping_due_at, self.keep_alive)
 
     # Receiving
 
     def receive(self, frame: FullFrame) -> None:
+        self.heard_at = self.loop.time()
         if not self.remote and frame.source:
             self.remote = frame.source
         self._acknowledged(frame.iseqno)
@@ -254,6 +270,7 @@
             if isinstance(frame, MiniFrame):
                 leg = self.by_remote.get((addr, frame.source))
                 if leg and leg.user:
+                    leg.heard_at = leg.loop.time()
                     leg.user.media(leg, frame)
             elif frame is not None:
                 self._full(frame, addr)
--- a/tansyspur/net/jsonlines.py
+++ b/tansyspur/net/jsonlines.py
@@ -26,7 +26,7 @@
 KEEP_LAST_S = 3.7  # ends of calls are owed within a second, but by 4 s no connection may be in use
 LAST_CALL_S = 3.87
 SWEEP_S = 0.02  # between looks for connections that may be closed, while callers are sent away
-OWED_S = 8.0  # a release that finds no connection is of no use after this
+OWED_S = 120.0  # so long a release waits for a connection; a caller that comes late still holds its call
 MOST_OWED = 5_000
 CROSSING_S = 1.0  # a release on a connection that ends so soon after may not have arrived
 TOKEN = re.compile(r"[!-~]{1,128}")
@@ -136,7 +136,7 @@
 
     at: float
     message: bytes
-    told: set[Link] = field(default_factory=set)
+    told: set[int] = field(default_factory=set)  # their numbers
 
 
 class JsonLinesFront:
@@ -150,7 +150,8 @@
         self.resumed_at = -math.inf  # since when callers come; while they are sent away, never
         self.sweeper: asyncio.TimerHandle | None = None
         self.last_call: asyncio.TimerHandle | None = None
-        self.kept: Link | None = None  # while callers are sent away, for the ends of calls
+        self.keeps_standing = False  # while callers are sent away, connections that calls stand on stay
+        self.kept: Link | None = None  # and one more for a while, for calls whose connection has gone
         self.keep_until = -math.inf
         self.legs: dict[str, JsonLeg] = {}
         self.links: set[Link] = set()
@@ -195,41 +196,50 @@
         self.resumed_at = math.inf if paused else loop.time()
         if paused:
             self.keep_until = loop.time() + KEEP_LAST_S
-            self.sweeper = loop.call_later(LOOKED_AWAY_S, self.send_away)
+            self.sweeper = loop.call_later(LOOKED_AWAY_S, self.send_away, True)
             self.last_call = loop.call_later(LAST_CALL_S, self.send_off)
 
     def send_off(self) -> None:
         """Those that are never without an open set-up: fail what is open rather than keep them."""
         busy = {leg.link for leg in self.legs.values() if not leg.stands}
+        carrying = self._carrying()
         for link in list(self.links):
             if link in busy and not link.closed:
                 self._fail_open(link, "callers are sent away")
-            link.leave()
+            if link not in carrying:
+                link.leave()
+
+    def _carrying(self) -> set[Link]:
+        """The connections that stay, while callers are sent away, until the ends of their calls are told."""
+        return {leg.link for leg in self.legs.values() if leg.stands} if self.keeps_standing else set()
 
-    def send_away(self) -> None:
+    def send_away(self, keeps_standing: bool = False) -> None:
         """Close each connection as soon as its set-ups are answered, until told to stop.
 
         Guards against closing under a set-up: one that crosses the close is brought again by its caller. And
-        against calls whose end nobody can be told in time: while some stand, the last connection is kept.
+        against calls whose end nobody can be told in time: connections that calls stand on may be kept.
         """
         loop = asyncio.get_running_loop()
-        busy = {leg.link for leg in self.legs.values() if not leg.stands}
+        self.keeps_standing = keeps_standing
+        busy, carrying = {leg.link for leg in self.legs.values() if not leg.stands}, self._carrying()
         callers = [link for link in self.links if link in self.asked and not link.closed]
         if self.kept not in callers:
             self.kept = callers[0] if callers else None
-        keep = loop.time() < self.keep_until and any(leg.stands for leg in self.legs.values())
+        homeless = any(leg.stands and leg.link.closed for leg in self.legs.values())
+        if homeless and self.kept and loop.time() < self.keep_until:
+            carrying.add(self.kept)
         for link in list(self.links):
             # What is new may still bring its first set-up, or ask whether we are ready.
             young = loop.time() - link.opened_at < YOUNG_S
-            if link not in busy and not young and not (keep and link is self.kept):
+            if link not in busy and not young and link not in carrying:
                 # In the next turn, when what has been read of it has been taken.
                 loop.call_soon(self._leave_idle, link)
-        self.sweeper = loop.call_later(SWEEP_S, self.send_away)
+        self.sweeper = loop.call_later(SWEEP_S, self.send_away, keeps_standing)
 
     def _leave_idle(self, link: Link) -> None:
         """Guards against closing on a set-up that has come and is not read yet."""
         is_open = any(leg.link is link and not leg.stands for leg in self.legs.values())
-        if not is_open and not link.unread:
+        if not is_open and not link.unread and not link.unfinished:
             link.leave()
 
     def stop_sending_away(self) -> None:
@@ -237,6 +247,7 @@
             if timer:
                 timer.cancel()
         self.sweeper = self.last_call = None
+        self.keeps_standing = False
         self.keep_until = -math.inf
 
     # What another process says of our calls, or we of its
@@ -300,8 +311,8 @@
                 del self.owed[wire_id]
                 self._note_delivery(Delivery.EXPIRED, wire_id, late_s=now - owed.at)
                 continue
-            if link not in owed.told:
-                owed.told.add(link)
+            if link.number not in owed.told:
+                owed.told.add(link.number)
                 link.write(owed.message)
             if link in self.asked:
                 del self.owed[wire_id]
@@ -435,6 +446,8 @@
         self.asked.add(link)
         self._pay(link)
         leg = self.legs[wire_id] = JsonLeg(self, link, wire_id)
+        if link in self._carrying():
+            return self.gatekeeper.turn_away(offer, leg)
         leg.call = self.gatekeeper.offer(offer, leg)
 
     def _release(self, link: Link, row: dict[str, Any]) -> None:
--- a/tansyspur/net/link.py
+++ b/tansyspur/net/link.py
@@ -93,6 +93,11 @@
     def unsent(self) -> int:
         return 0 if self.closed else self.writer.transport.get_write_buffer_size()
 
+    @property
+    def unfinished(self) -> bool:
+        """Whether a message has begun to come and is not whole."""
+        return bool(self.chunks.view)
+
     @property
     def unread(self) -> int:
         """Bytes that have come and that the loop has not read."""
--- a/tansyspur/net/sip.py
+++ b/tansyspur/net/sip.py
@@ -6,25 +6,20 @@
 import re
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
 
 from tansyspur import interface as face
 from tansyspur.core.figures import Figures
 from tansyspur.core.lease import StandingLeases
 from tansyspur.core.ports import NORMAL_CLEARING, Ended, EndReason, SetUpRequest, Stood, SwitchSignal
-from tansyspur.net.framing import LONGEST, Chunks, FramingError
+from tansyspur.net.framing import Chunks, FramingError
 from tansyspur.net.link import Link
-from tansyspur.translate import parse_report
+from tansyspur.net.releases import OwedReleases
+from tansyspur.net.sip_messages import Message, description, parse, parse_group, request
 
 INVITE_CSEQ = 1
 ABORT_S = 0.02
 REST_S = 0.2  # a message that has begun is whole by then
 MOST_GIVEN_UP = 1000
-MOST_KEPT_BYES = 1000
-START = re.compile(r"SIP/2\.0 [1-6][0-9]{2}(?: .*)?|[A-Z]{1,16} \S+ SIP/2\.0")
-HEADER = re.compile(r"[!-9;-~]+[ \t]*:.*")
-# As callers and switches describe a call: a word of its own, then lines of SDP (RFC 4566).
-DESCRIPTION = re.compile(r"\S+[ \t]*\r\n(?:[a-z]=[^\x00-\x08\x0a-\x1f\x7f]*\r\n)+")
 MOST_CONNECTIONS = 4
 # A link that is silent for so long is asked for a sign of life: soon under a set-up, as its caller waits, and
 # under a call that stands, as its end must be known within a second.
@@ -32,11 +27,9 @@
 # Without one it takes no new set-up after the first of these, and is closed after the other.
 DOUBT_S, PONG_S = 0.1, 0.25
 WATCH_S = 0.05
-FIRST_REDIAL_S, LONGEST_REDIAL_S = 0.1, 2.0
+FIRST_REDIAL_S, STANDING_REDIAL_S, LONGEST_REDIAL_S = 0.1, 0.4, 2.0
 REFRESH_S = 4.0  # between connections that are opened for releases which may have been lost
 LATE_TIMER_S = 0.25  # a timer that is later than this shows that this process did not run
-COMPACT = {"i": "call-id", "l": "content-length", "v": "via", "f": "from", "t": "to", "m": "contact"}
-SINGLE = ("call-id", "cseq", "content-length")
 CAUSES = {
     "all_trunks_busy": face.Cause.NO_CIRCUIT,
     "via_said_no": face.Cause.TURNED_BACK,
@@ -55,93 +48,6 @@
 Log = Callable[..., None]
 
 
-@dataclass(slots=True)
-class Message:
-    start: str
-    headers: dict[str, str]
-    body: memoryview
-
-    @property
-    def call_id(self) -> str:
-        return self.headers.get("call-id", "")
-
-
-def parse(chunks: Chunks) -> Message | None:
-    """The next whole message; None if it has not come.
-
-    What is no message is an error at once: where one begins is not known after it, and whatever is read from
-    there on may be put together from pieces of others.
-    """
-    while chunks.view[:2] == b"\r\n":  # RFC 3261 section 7.5: empty lines before a message
-        chunks.take(2)
-    if chunks.view[:1] != b"\r" and chunks.view and not 65 <= chunks.view[0] <= 90:
-        raise FramingError("what came is no SIP")
-    end = chunks.find(b"\r\n\r\n")
-    if end < 0 or end > LONGEST:
-        if end > LONGEST or len(chunks.view) > LONGEST:
-            raise FramingError("a SIP head is too long")
-        return None
-    try:
-        start, *lines = str(chunks.view[:end], "utf-8").split("\r\n")
-    except UnicodeDecodeError:
-        raise FramingError("a SIP head that is not text") from None
-    if not START.fullmatch(start):
-        raise FramingError("an unreadable first line")
-    headers: dict[str, str] = {}
-    for line in lines:
-        if not HEADER.fullmatch(line):
-            raise FramingError("an unreadable header")
-        name, _, value = line.partition(":")
-        name = name.strip().lower()
-        name = COMPACT.get(name, name)
-        if name in headers and name in SINGLE:
-            raise FramingError(f"a SIP message with two of {name}")  # which of them holds is anybody's guess
-        headers[name] = value.strip()
-    length = headers.get("content-length", "")
-    if not re.fullmatch(r"[0-9]{1,9}", length):
-        raise FramingError("a SIP message without a usable Content-Length")
-    whole = end + 4 + int(length)
-    if whole > LONGEST:
-        raise FramingError("a SIP message is too long")
-    if len(chunks.view) < whole:
-        return None
-    return Message(start, headers, chunks.take(whole)[end + 4 :])
-
-
-def parse_group(text: str) -> face.Report | None:
-    """A report such as 'x0:12;x1:40;queue:3', in the fields the settings name."""
-    figures: dict[str, float] = {}
-    for pair in text.split(";"):
-        name, _, figure = pair.partition(":")
-        if re.fullmatch(r"-?[0-9]{1,15}(\.[0-9]{1,15})?", figure.strip()):
-            figures[name.strip()] = float(figure)
-    return parse_report(figures) if figures else None
-
-
-def description(body: memoryview) -> str:
-    """Of an answer. Guards against passing on one that was cut short, or that holds a part of the next
-    message: a length that does not fit makes both."""
-    try:
-        text = str(body, "utf-8")
-    except UnicodeDecodeError:
-        text = ""
-    if not DESCRIPTION.fullmatch(text):
-        raise FramingError("an answer with an unreadable description")
-    return text
-
-
-def request(method: str, target: str, call_id: str, cseq: int, *headers: str, body: bytes = b"") -> bytes:
-    lines = [
-        f"{method} sip:{target}@net SIP/2.0",
-        "Via: SIP/2.0/TCP gatekeeper",
-        f"Call-ID: {call_id}",
-        f"CSeq: {cseq} {method}",
-        *headers,
-        f"Content-Length: {len(body)}",
-    ]
-    return "\r\n".join(lines).encode("utf-8", "surrogateescape") + b"\r\n\r\n" + body
-
-
 class SipLeg:
     """One attempt, and the call that stands from it."""
 
@@ -231,9 +137,7 @@
         self.links: list[Link] = []
         self.legs: dict[str, SipLeg] = {}  # waiting, out or standing, by Call-ID
         self.waiting: list[SipLeg] = []
-        self.byes: dict[str, bytes] = {}  # releases that found no connection
-        # Releases written since a connection was last heard: they go out again if it ends without a word.
-        self.unconfirmed_byes: dict[Link, dict[str, bytes]] = {}
+        self.releases = OwedReleases()
         self.asked: dict[Link, float] = {}  # links that owe a sign of life, and since when
         self.given_up: dict[str, None] = {}  # Call-IDs of attempts given up of late: an answer may still come
         self.probes: dict[str, Callable[[face.Outcome, face.Report | None], None]] = {}
@@ -263,9 +167,7 @@
     ) -> SipLeg:
         leg = SipLeg(self, order, may_send, written, tell)
         self.legs[leg.call_id] = leg
-        # They would release this attempt in place of the one before.
-        for byes in (self.byes, *self.unconfirmed_byes.values()):
-            byes.pop(leg.call_id, None)
+        self.releases.forget(leg.call_id)  # it would release this attempt in place of the one before
         self.given_up.pop(leg.call_id, None)
         link = self._usable()
         if link:
@@ -397,6 +299,11 @@
         stranded = any(leg.stranded and leg.stands for leg in self.legs.values())
         return stranded and self.loop.time() - self.dialled_at > REFRESH_S
 
+    def _longest_redial_s(self) -> float:
+        """Sooner while calls stand: a switch that is back must show it before their leases run out."""
+        standing = any(leg.stands for leg in self.legs.values())
+        return STANDING_REDIAL_S if standing else LONGEST_REDIAL_S
+
     @property
     def reached(self) -> bool:
         return any(not link.closed for link in self.links)
@@ -429,7 +336,8 @@
             wait_s = WATCH_S
             urgent = self._usable() is None or bool(self.waiting)
             if urgent or (self._wants_fresh_connection() and self.loop.time() >= refresh_at):
-                redial_s = FIRST_REDIAL_S if await self._dial() else min(LONGEST_REDIAL_S, redial_s * 2)
+                came_up = await self._dial()
+                redial_s = FIRST_REDIAL_S if came_up else min(self._longest_redial_s(), redial_s * 2)
                 self.ever_dialled.set()
                 refresh_at = self.loop.time() + redial_s
                 # Guards against not watching the connections that are in use.
@@ -483,7 +391,7 @@
 
         def take(chunks: Chunks) -> bool:
             self.leases.heard(link, link.heard_at)
-            self.unconfirmed_byes.pop(link, None)
+            self.releases.heard(link)
             taken = False
             while not link.closed and (message := parse(chunks)):
                 self._heard(link, message)
@@ -508,8 +416,7 @@
             self.links.remove(link)
             self.asked.pop(link, None)
             self.leases.disconnected(link)
-            for call_id, message in self.unconfirmed_byes.pop(link, {}).items():
-                self._keep_bye(call_id, message)
+            self.releases.lost(link)
             if any(leg.link is link and leg.stands for leg in self.legs.values()):
                 self.unheard_since = self.loop.time()
             # The set-ups open on a connection are given up when it closes.
@@ -551,30 +458,23 @@
         message = request("BYE", call_id, call_id, INVITE_CSEQ + 1, f"Reason: Q.850;cause={cause}")
         if link is None or link.closed or link.unsent:
             link = self._open_link()
+        self.releases.keep(call_id, message)
         if link:
-            self._write_bye(link, call_id, message)
+            self._write_kept(link)
         else:
-            self._keep_bye(call_id, message)
             self.wanted.set()
 
     def _send_kept_byes(self) -> None:
-        link = self._open_link()
-        if link:
-            byes, self.byes = self.byes, {}
-            for call_id, message in byes.items():
-                self._write_bye(link, call_id, message)
+        if link := self._open_link():
+            self._write_kept(link)
+
+    def _write_kept(self, link: Link) -> None:
+        for message in self.releases.sent_on(link):
+            link.write(message)
 
     def _open_link(self) -> Link | None:
         return self._usable() or next((one for one in self.links if not one.closed), None)
 
-    def _write_bye(self, link: Link, call_id: str, message: bytes) -> None:
-        link.write(message)
-        self.unconfirmed_byes.setdefault(link, {})[call_id] = message
-
-    def _keep_bye(self, call_id: str, message: bytes) -> None:
-        if not self.retired and len(self.byes) < MOST_KEPT_BYES:
-            self.byes[call_id] = message
-
     # What the switch says
 
     def _heard(self, link: Link, message: Message) -> None:
--- a/tests/iax2_peer.py
+++ b/tests/iax2_peer.py
@@ -120,6 +120,7 @@
 
     def __init__(self, plan=("answer",), secret="", loss=0.0, repeats=0.0):
         self.plan, self.secret, self.loss, self.repeats = list(plan), secret, loss, repeats
+        self.vanished = False  # it neither hears nor says anything
         self.numbers, self.seen = itertools.count(1), set()
         self.calls, self.by_remote, self.incoming, self.news = {}, {}, asyncio.Queue(), []
         self.replies = asyncio.Queue()  # frames that belong to no call
@@ -141,6 +142,8 @@
 
     def lost(self, way, datagram):
         """Frames are told apart by call number, time stamp and type, which their repeats share."""
+        if self.vanished:
+            return True
         if not self.loss or len(datagram) < 12:
             return False
         key = way, datagram[:2], datagram[4:8], datagram[10:12]
--- a/tests/test_iax2.py
+++ b/tests/test_iax2.py
@@ -15,6 +15,7 @@
 from tests import iax2_peer as iax
 from tests.iax2_peer import Iax2Peer
 from tests.test_program import program
+from tests.test_silent_switch import QUIET_S, TOLD_S, releases
 from tests.world import LONG, ROOT, Switch, World, free_port
 
 SECRET = "hush-4711"
@@ -287,6 +288,20 @@
         assert len(far.news) == 1
 
 
+@program
+async def test_calls_on_an_iax2_switch_that_vanishes_are_told_in_time_and_others_stand():
+    # Related to the incident of 2026-12-02: one unanswered PING in 20 s showed it after 27 s at the latest.
+    far = Iax2Peer(secret=SECRET)
+    async with Iax2World(Switch("s-1", 1), far=far) as world:
+        caller = await world.caller()
+        calls = [caller.set_up(1) for _ in range(2)]
+        for call in calls:
+            await caller.next(call, "answer")
+        assert await releases(caller, QUIET_S) == {}
+        far.vanished = True
+        assert set(await releases(caller, TOLD_S)) == set(calls)
+
+
 CIRCUITS, WAVES = 10, 3
 OFFERED = CIRCUITS * 120 // 100
 
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -1,8 +1,10 @@
 """Which calls are taken for over, and which are not, by what is seen of a switch's connections alone."""
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
-from tansyspur.core.lease import LEASE_S, PROMPT_RETURN_S, StandingLeases
+from tansyspur.core.lease import END_TOLD_S, LEASE_S, PROMPT_RETURN_S, StandingLeases
 
 STEADY = 0.0  # discovery is heard since the beginning
 
@@ -91,3 +93,76 @@
     leases.stands("fresh", "new")
     leases.heard("new", 16.9)
     assert leases.expired(10 + LEASE_S, STEADY) == ["call"]
+
+
+def test_a_second_process_behind_a_prompt_successor_holds_none_of_the_first_ones_calls():
+    # Guards against following connections from one process into another: reset, back at once, then lost for 5 s.
+    leases = StandingLeases()
+    leases.connected("first", 1.0)
+    leases.heard("first", 10.0)
+    leases.stands("call", "first")
+    leases.disconnected("first")
+    leases.connected("second", 10.2)
+    leases.heard("second", 11.0)
+    leases.disconnected("second")
+    leases.connected("third", 16.5)
+    leases.heard("third", 17.0)
+    assert leases.expired(10 + LEASE_S, STEADY) == []
+    leases.heard("third", 18.0)
+    assert leases.expired(11 + LEASE_S, STEADY) == ["call"]
+
+
+def test_a_row_of_prompt_returns_is_followed_to_its_end():
+    leases = StandingLeases()
+    leases.connected(0, 9.0)
+    leases.heard(0, 10.0)
+    leases.stands("call", 0)
+    for number in range(1, 8):
+        leases.disconnected(number - 1)
+        leases.connected(number, 10.0 + number)
+        leases.heard(number, 10.1 + number)
+    assert leases.expired(17.05 + 0.05, STEADY) == []
+    assert leases.next_expiry() > 17.1
+
+
+TICK_S = 0.25
+FAULTS = st.tuples(
+    st.sampled_from(["hear", "reset", "hang", "restart", "slow restart"]), st.floats(0.05, 3.0)
+)
+
+
+@given(st.lists(FAULTS, max_size=30), st.booleans())
+def test_no_call_of_a_process_that_has_ended_is_kept_beyond_the_time_owed(faults, steady):
+    """Connections break, and the process hangs, or another takes its address, in any order and at any time."""
+    steady_since = -1.0 if steady else None
+    leases, now, link, hung, ended_at = StandingLeases(), 0.0, 0, False, None
+    leases.connected(link, now)
+    leases.heard(link, now)
+    leases.stands("call", link)
+
+    def poll():
+        for call_id in leases.expired(now, steady_since):
+            leases.over(call_id)
+
+    for fault, seconds in [*faults, ("restart", 0.1)]:
+        until = now + seconds
+        while now < until:
+            now += TICK_S
+            poll()
+        restarts = fault.endswith("restart")
+        if (restarts or fault == "hang") and ended_at is None:
+            ended_at = now
+        if restarts and (fault == "slow restart" or steady):
+            now += PROMPT_RETURN_S + 0.1  # of a quicker one discovery tells, if it is heard
+        hung = (hung and not restarts) or fault == "hang"
+        if restarts or fault == "reset":
+            leases.disconnected(link)
+            link += 1
+            leases.connected(link, now)
+        if not hung:
+            leases.heard(link, now)
+    while now < ended_at + END_TOLD_S:
+        now += TICK_S
+        poll()
+        leases.heard(link, now)
+    assert leases.next_expiry() is None
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -156,9 +156,12 @@
 async def test_paused_it_sends_callers_away_and_resumed_it_has_them_back():
     switch, slow = Switch("s-1", 1), Switch("s-2", 2, plan=["silent"])
     async with World(switch, slow) as world:
-        idle, busy, never_idle = [await world.caller() for _ in range(3)]
-        standing = idle.set_up(1)
-        await idle.next(standing, "answer")
+        idle, busy, never_idle, leaver = [await world.caller() for _ in range(4)]
+        done, standing = idle.set_up(1), leaver.set_up(1)
+        await idle.next(done, "answer")
+        await leaver.next(standing, "answer")
+        leaver.close()  # its call stands on, tied to no connection
+        idle.say("release", done, cause=16)
         open_call, long_call = busy.set_up(2, left=9000), never_idle.set_up(2, left=9000)
         for _ in range(2):
             await slow.next("INVITE")
@@ -171,9 +174,15 @@
         # What is open is served on, also what comes before its connection is closed.
         late = busy.set_up(1)
         assert (await busy.next(late))["type"] == "answer"
-        assert await idle.silent(LONG)  # closed, though a call that came over it stands
-        slow.act("answer", open_call)
-        assert (await busy.next(open_call))["type"] == "answer" and await busy.silent(LONG)
+        assert [(await idle.next(done))["type"] for _ in range(2)] == ["released", "release"]
+        assert await idle.silent(LONG)
+        switch.bye(late)  # nothing stands on the busy connection but what is about to end
+        assert (await busy.next(late))["type"] == "release"
+        slow.act("486 number_busy", open_call)
+        assert (await busy.next(open_call))["type"] == "release"
+        # Closed, and nothing more but the end that may have been lost as the idle connection was closed.
+        rest = [json.loads(row) for row in (await busy.reader.read()).splitlines()]
+        assert {(row["type"], row["id"]) for row in rest} <= {("release", done)}
         # One that is never without an open set-up is closed all the same, and its callers are told.
         assert (await never_idle.next(long_call))["type"] == "release" and await never_idle.silent(LONG)
         # The end of a call is owed until callers come back. Guards against telling it to the front: a test
@@ -191,6 +200,27 @@
         assert (await back.next(call))["type"] == "answer" and await back.silent(0.8)
 
 
+@program
+async def test_paused_a_connection_with_calls_stays_for_their_ends_and_takes_no_new_ones():
+    # The operators' term on drains. Guards against ends that nobody can be told of during a long pause.
+    switch = Switch("s-1", 1)
+    async with World(switch) as world:
+        caller = await world.caller()
+        first, second = caller.set_up(1), caller.set_up(1)
+        for call in (first, second):
+            await caller.next(call, "answer")
+        await world.console("PAUSE")
+        await asyncio.sleep(1.0)  # the front of the platform has looked away
+        refused = caller.set_up(1)
+        answer = await caller.next(refused)
+        assert (answer["type"], answer["cause"]) == ("release", 42) and int(answer["fields"]["wait"]) > 0
+        await asyncio.sleep(4.0)  # longer than any other connection is kept
+        for call in (first, second):
+            switch.bye(call)
+            assert (await caller.next(call))["type"] == "release"
+        assert await caller.silent(LONG) and switch.count("INVITE") == 2
+
+
 @program
 async def test_paused_the_last_callers_connection_is_kept_for_the_ends_of_calls():
     # Guards against calls whose end is told seconds late, as every connection was closed at once.
@@ -417,6 +447,40 @@
         assert (await caller.next(call))["type"] == "release"
 
 
+@pytest.mark.parametrize("deadline_s", [0.4, 1, 3, 9])
+@program
+async def test_ending_alone_every_end_is_told_before_the_earliest_kill(deadline_s):
+    # Callers go on sending on open connections until the kill, and the switch hangs through the shutdown.
+    switch, hung = Switch("s-1", 1), Switch("s-2", 2, plan=["silent"])
+    kinds = copy.deepcopy(settings()["classes"])
+    for kind in kinds:
+        kind["deadline-ns"] = kind["objective-ns"] = int(deadline_s * S)
+    left = int(deadline_s * 900)
+    async with World(switch, hung, classes=kinds) as world:
+        caller, crowd = await world.caller(), await world.caller()
+        calls = [caller.set_up(1, left=left) for _ in range(3)]
+        for call in calls:
+            await caller.next(call, "answer")
+        switch.mute = [*switch.writers]
+        loop, sent = asyncio.get_running_loop(), []
+        kill_at = loop.time() + min(3, deadline_s) + 0.7
+        world.process.send_signal(signal.SIGTERM)
+        told = asyncio.create_task(caller.reader.read())
+        answers = asyncio.create_task(crowd.reader.read())
+        while loop.time() < kill_at and not answers.done():
+            sent.append((crowd.set_up(2, left=left), loop.time()))
+            await asyncio.sleep(0.01)
+        closed_at = loop.time()
+        async with asyncio.timeout_at(kill_at + 0.3):  # for a busy machine; the kill itself is not played
+            rows = [json.loads(line) for line in (await told).splitlines()]
+            assert await world.process.wait() == 0
+        assert sorted(row["id"] for row in rows if row["type"] == "release") == sorted(calls)
+        ended = [json.loads(line)["id"] for line in (await answers).splitlines()]
+        assert len(ended) == len(set(ended)), "two answers"
+        # What crosses the close within 50 ms its caller sends again.
+        assert {call for call, at in sent if at < closed_at - 0.05} <= set(ended)
+
+
 @program
 async def test_a_pause_belongs_to_its_process_and_an_ending_one_takes_no_orders():
     switch = Switch("s-1", 1)
--- a/tests/world.py
+++ b/tests/world.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import collections
 import contextlib
 import itertools
 import json
@@ -22,10 +23,22 @@
 S = 1_000_000_000
 
 
+HELD = collections.deque(maxlen=64)  # sockets that keep ports of late from being given out again
+
+
 def free_port(kind=socket.SOCK_STREAM):
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """A port of the system's choice. Of TCP it is held, bound and not listening, so that no other test's
+    connection gets it before the program listens there; a datagram socket would get what is sent to the port."""
+    probe = socket.socket(socket.AF_INET, kind)
+    if kind == socket.SOCK_STREAM:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        HELD.append(probe)
+    probe.bind(("127.0.0.1", 0))
+    port = probe.getsockname()[1]
+    if kind != socket.SOCK_STREAM:
+        probe.close()
+    return port
 
 
 def settings(**changed):
@@ -276,7 +289,13 @@
         self.arguments, self.reading = arguments, []
         self.console_port = free_port()
         self.process = await self.launch(self.console_port)
-        await self.ready()
+        try:
+            await self.ready()
+        except BaseException:
+            print("\n".join(self.lines))
+            if self.process.returncode is None:
+                self.process.kill()
+            raise
         return self
 
     async def proxy(self, target):
@@ -335,6 +354,8 @@
         """The test passes, and every switch has its connection."""
         async with asyncio.timeout(LONG):
             while True:
+                if self.process.returncode is not None:
+                    raise AssertionError("the program ended at its start: " + "\n".join(self.lines))
                 with contextlib.suppress(OSError, ConnectionError):
                     caller = await self.caller()
                     caller.say("ping", "00000000000000ff", cause=0)
