--- a/tansyspur/core/gatekeeper.py
+++ b/tansyspur/core/gatekeeper.py
@@ -239,9 +239,12 @@
             older = (other.started_ns or 0) <= (row.started_ns or 0)
             if other.name in together or other.address != row.address or not older:
                 continue
-            self.displaced.add(other.name)
-            if switch := self.switches.pop(self.exchange_ids[other.name], None):
+            exchange_id = self.exchange_ids[other.name]
+            switch = self.switches.get(exchange_id)
+            if switch and switch.uses_listed_address:
                 self.log("warning", "list", "the address is taken", switch=other.name, by=row.name)
+                self.displaced.add(other.name)
+                del self.switches[exchange_id]
                 switch.closed_to_new()
                 switch.retire(EndReason.ADDRESS_TAKEN)
 
--- a/tansyspur/core/ports.py
+++ b/tansyspur/core/ports.py
@@ -130,6 +130,8 @@
 class Switch(Protocol):
     """One carrier switch."""
 
+    uses_listed_address: bool  # whether it is reached at the address in the list of switches
+
     @property
     def reached(self) -> bool:
         """Whether it can be spoken to at this moment, as far as is known."""
--- a/tansyspur/iax2/back.py
+++ b/tansyspur/iax2/back.py
@@ -140,6 +140,8 @@
 
 
 class Iax2Switch:
+    uses_listed_address = False  # but at the one in the operator's file, or where it registered from
+
     def __init__(
         self,
         name: str,
--- a/tansyspur/net/sip.py
+++ b/tansyspur/net/sip.py
@@ -118,6 +118,8 @@
 
 
 class SipSwitch:
+    uses_listed_address = True
+
     def __init__(
         self,
         name: str,
