--- a/tansyspur/core/ports.py
+++ b/tansyspur/core/ports.py
@@ -64,7 +64,7 @@
     ADDRESS_TAKEN = "address_taken"  # another switch is listed at its address
     SWITCH_RESTARTED = "switch_restarted"  # as discovery told
     SWITCH_REMOVED = "switch_removed"  # as discovery told
-    DRAINED = "drained"  # discovery told of a drain before the set-up had left
+    HELD_BACK = "held_back"  # a drain or the last guard kept the set-up from leaving
     STOPPED = "stopped"  # the gatekeeper ends
     INTERNAL = "internal"  # an error of our own
 
--- a/tansyspur/net/sip.py
+++ b/tansyspur/net/sip.py
@@ -65,7 +65,6 @@
         self.link: Link | None = None  # that of its set-up
         self.sent_at, self.sent_ns = 0.0, 0
         self.stands = self.over = False
-        self.stranded = False  # its connection fell silent: the switch may still send there
         self.dial_timer: asyncio.TimerHandle | None = None
         self.expires_at = switch.loop.time() + order.wait_ms / 1000
 
@@ -82,7 +81,7 @@
             return
         if not self.may_send():
             self.switch.forget(self)
-            return self.tell(Ended(face.Outcome.NOT_SENT, reason=EndReason.DRAINED))
+            return self.tell(Ended(face.Outcome.NOT_SENT, reason=EndReason.HELD_BACK))
         offer = self.order.offer
         wait_ms = max(1, int((self.expires_at - self.switch.loop.time()) * 1000))
         self.link, self.sent_at, self.sent_ns = link, self.switch.loop.time(), time.time_ns()
@@ -140,6 +139,7 @@
         self.legs: dict[str, SipLeg] = {}  # waiting, out or standing, by Call-ID
         self.waiting: list[SipLeg] = []
         self.releases = OwedReleases()
+        self.silent_links: set[Link] = set()  # given up for their silence, and not ended yet
         self.asked: dict[Link, float] = {}  # links that owe a sign of life, and since when
         self.given_up: dict[str, None] = {}  # Call-IDs of attempts given up of late: an answer may still come
         self.probes: dict[str, Callable[[face.Outcome, face.Report | None], None]] = {}
@@ -200,7 +200,7 @@
                 link.abort()
         for leg in self.waiting[:]:
             self.forget(leg)
-            leg.tell(Ended(face.Outcome.NOT_SENT, reason=EndReason.DRAINED))
+            leg.tell(Ended(face.Outcome.NOT_SENT, reason=EndReason.HELD_BACK))
 
     def restarted(self, at_ns: int) -> None:
         # Guards against calls that stand for ever: the process that held them can send no release.
@@ -255,8 +255,7 @@
                         "warning", "sip", "a silent connection was closed", switch=self.name,
                         link=link.number, silent_ms=int((now - link.heard_at) * 1000),
                     )  # fmt: skip
-                    for leg in self.legs.values():
-                        leg.stranded = leg.stranded or leg.link is link
+                    self.silent_links.add(link)
                     link.abort()
             elif now - link.heard_at > used.get(link, IDLE_S):
                 self.asked[link] = now
@@ -266,8 +265,10 @@
 
     def _arm_lease_timer(self) -> None:
         """At the time at which the first lease runs out if nothing more is heard."""
+        if self.lease_timer is not None:
+            return
         due = self.leases.next_expiry()
-        if self.lease_timer is None and due is not None:
+        if due is not None:
             self.lease_timer = self.loop.call_at(due, self._lease_due, due)
 
     def _lease_due(self, due: float) -> None:
@@ -298,8 +299,8 @@
         """Whether a release may have been lost that the switch sends again on a new connection only."""
         if self.unheard_since is not None:
             return True
-        stranded = any(leg.stranded and leg.stands for leg in self.legs.values())
-        return stranded and self.loop.time() - self.dialled_at > REFRESH_S
+        due = self.loop.time() - self.dialled_at > REFRESH_S
+        return due and self.leases.wants_fresh_connection()
 
     def _longest_redial_s(self) -> float:
         """Sooner while calls stand: a switch that is back must show it before their leases run out."""
@@ -417,7 +418,8 @@
             link.abort()
             self.links.remove(link)
             self.asked.pop(link, None)
-            self.leases.disconnected(link)
+            self.leases.disconnected(link, silent=link in self.silent_links)
+            self.silent_links.discard(link)
             self.releases.lost(link)
             if any(leg.link is link and leg.stands for leg in self.legs.values()):
                 self.unheard_since = self.loop.time()
@@ -525,7 +527,7 @@
             return
         if status < 300:
             leg.stands = True
-            self.leases.stands(leg.call_id, link)
+            self.leases.stands(leg.call_id, link, link.heard_at)
             self._arm_lease_timer()
             return leg.tell(Stood(stands))
         self.forget(leg)
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -15,12 +15,12 @@
     made = StandingLeases()
     made.connected("old", 1.0)
     made.heard("old", 10.0)
-    made.stands("call", "old")
+    made.stands("call", "old", 10.0)
     return made
 
 
 def come_back(leases, at):
-    leases.disconnected("old")
+    leases.disconnected("old", silent=False)
     leases.connected("new", at)
     leases.heard("new", at)
 
@@ -41,7 +41,7 @@
 
 def test_a_connection_that_comes_up_and_says_nothing_vouches_for_nothing(leases):
     # Guards against a hung process, for which the kernel accepts connections.
-    leases.disconnected("old")
+    leases.disconnected("old", silent=False)
     leases.connected("new", 10.5)
     assert leases.expired(10 + LEASE_S, STEADY) == ["call"]
 
@@ -64,7 +64,7 @@
 
 
 def test_the_release_of_one_call_shows_that_its_process_lives(leases):
-    leases.stands("other", "old")
+    leases.stands("other", "old", 10.0)
     come_back(leases, 14.0)
     leases.released("other", "new")
     leases.over("other")
@@ -75,7 +75,7 @@
 def test_connections_that_are_heard_side_by_side_lead_to_one_process(leases):
     leases.connected("new", 12.0)
     leases.heard("old", 12.5)
-    leases.disconnected("old")
+    leases.disconnected("old", silent=False)
     leases.heard("new", 16.0)
     assert leases.expired(10 + LEASE_S, None) == []
 
@@ -83,14 +83,14 @@
 def test_what_is_read_late_of_an_ended_connection_shows_no_overlap(leases):
     leases.connected("new", 12.0)
     leases.heard("old", 12.05)
-    leases.disconnected("old")
+    leases.disconnected("old", silent=False)
     leases.heard("new", 18.0)
     assert leases.expired(12.05 + LEASE_S, None) == ["call"]
 
 
 def test_calls_of_a_new_process_do_not_lengthen_those_of_the_old(leases):
     come_back(leases, 14.0)
-    leases.stands("fresh", "new")
+    leases.stands("fresh", "new", 14.0)
     leases.heard("new", 16.9)
     assert leases.expired(10 + LEASE_S, STEADY) == ["call"]
 
@@ -100,11 +100,11 @@
     leases = StandingLeases()
     leases.connected("first", 1.0)
     leases.heard("first", 10.0)
-    leases.stands("call", "first")
-    leases.disconnected("first")
+    leases.stands("call", "first", 10.0)
+    leases.disconnected("first", silent=False)
     leases.connected("second", 10.2)
     leases.heard("second", 11.0)
-    leases.disconnected("second")
+    leases.disconnected("second", silent=False)
     leases.connected("third", 16.5)
     leases.heard("third", 17.0)
     assert leases.expired(10 + LEASE_S, STEADY) == []
@@ -116,15 +116,66 @@
     leases = StandingLeases()
     leases.connected(0, 9.0)
     leases.heard(0, 10.0)
-    leases.stands("call", 0)
+    leases.stands("call", 0, 10.0)
     for number in range(1, 8):
-        leases.disconnected(number - 1)
+        leases.disconnected(number - 1, silent=False)
         leases.connected(number, 10.0 + number)
         leases.heard(number, 10.1 + number)
     assert leases.expired(17.05 + 0.05, STEADY) == []
     assert leases.next_expiry() > 17.1
 
 
+@pytest.fixture
+def adrift(leases):
+    """The same call, whose connection was given up in silence; its process is heard on another since 11."""
+    leases.stands("witness", "old", 10.0)
+    leases.disconnected("old", silent=True)
+    leases.connected("new", 11.0)
+    leases.heard("new", 11.0)
+    leases.released("witness", "new")
+    leases.over("witness")
+    return leases
+
+
+def test_after_a_silent_end_only_new_connections_confirm_a_call(adrift):
+    # Guards against a release that the switch sent into the silent connection, which it takes for open.
+    assert adrift.wants_fresh_connection()
+    for second in range(12, 18):
+        adrift.heard("new", float(second))
+    assert adrift.expired(11 + LEASE_S - 0.01, STEADY) == []
+    assert adrift.expired(11 + LEASE_S, STEADY) == ["call"]
+
+
+def test_a_connection_that_is_opened_for_it_confirms_the_call_anew(adrift):
+    adrift.connected("newer", 15.0)
+    adrift.heard("newer", 15.0)
+    adrift.heard("new", 15.2)  # it is the same process
+    assert adrift.expired(15 + LEASE_S - 0.01, None) == []
+    assert adrift.expired(15 + LEASE_S, None) == ["call"]
+
+
+def test_nothing_confirms_a_call_whose_release_may_be_lost_for_good(adrift):
+    # The switch sends what it owes on the next connection that opens; that one was never heard.
+    adrift.connected("deaf", 15.0)
+    adrift.disconnected("deaf", silent=True)
+    adrift.connected("newer", 17.0)
+    adrift.heard("newer", 17.0)
+    adrift.heard("new", 17.2)
+    assert not adrift.wants_fresh_connection()
+    assert adrift.expired(11 + LEASE_S, STEADY) == ["call"]
+
+
+def test_after_a_reset_any_connection_of_the_process_confirms_a_call(leases):
+    leases.stands("witness", "old", 10.0)
+    leases.disconnected("old", silent=False)
+    leases.connected("new", 11.0)
+    leases.heard("new", 11.0)
+    leases.released("witness", "new")
+    leases.heard("new", 20.0)
+    assert not leases.wants_fresh_connection()
+    assert leases.expired(20 + LEASE_S - 0.01, None) == []
+
+
 TICK_S = 0.25
 FAULTS = st.tuples(
     st.sampled_from(["hear", "reset", "hang", "restart", "slow restart"]), st.floats(0.05, 3.0)
@@ -138,7 +189,7 @@
     leases, now, link, hung, ended_at = StandingLeases(), 0.0, 0, False, None
     leases.connected(link, now)
     leases.heard(link, now)
-    leases.stands("call", link)
+    leases.stands("call", link, 0.0)
 
     def poll():
         for call_id in leases.expired(now, steady_since):
@@ -156,7 +207,7 @@
             now += PROMPT_RETURN_S + 0.1  # of a quicker one discovery tells, if it is heard
         hung = (hung and not restarts) or fault == "hang"
         if restarts or fault == "reset":
-            leases.disconnected(link)
+            leases.disconnected(link, silent=False)
             link += 1
             leases.connected(link, now)
         if not hung:
--- a/tests/world.py
+++ b/tests/world.py
@@ -227,6 +227,13 @@
                 if call_id in (None, row["id"]) and kind in (None, row["type"]):
                     return row
 
+    async def next_row(self):
+        """The next message, however long it takes."""
+        line = await self.reader.readline()
+        if not line:
+            raise ConnectionError("the program closed the connection")
+        return json.loads(line)
+
     async def silent(self, seconds=0.3):
         """Nothing more comes; a second final answer would."""
         try:
