Ending alone, a connection is kept for calls whose own has gone

Cause: since drains keep the connections that calls stand on, idle ones are closed 0.6 s after SIGTERM; the end of a call whose own connection had gone found none any more. Change: such calls keep one connection of callers to the end of the process; a test.

--- a/tansyspur/__main__.py
+++ b/tansyspur/__main__.py
@@ -315,8 +315,7 @@
             # Guards against connections that come up in a queue which nobody serves any more.
             self.sockets["callers"].close()
             self.endpoint.on_new = turn_away
-            self.front.stop_sending_away()  # of a pause, which ends what is open later than the kill
-            self.front.send_away(keeps_standing=True)
+            self.front.send_away_for_good()
             until = stopped + earliest_kill_s(longest_s) - EXIT_MARGIN_S
             await gatekeeper.finish(until - self.loop.time())
         self.front.stop_sending_away()
--- a/tansyspur/net/jsonlines.py
+++ b/tansyspur/net/jsonlines.py
@@ -236,6 +236,12 @@
                 loop.call_soon(self._leave_idle, link)
         self.sweeper = loop.call_later(SWEEP_S, self.send_away, keeps_standing)
 
+    def send_away_for_good(self) -> None:
+        """Until the end of a process that ends alone: ends of calls must find a connection to its end."""
+        self.stop_sending_away()  # of a pause, which ends what is open later than the kill
+        self.keep_until = math.inf
+        self.send_away(keeps_standing=True)
+
     def _leave_idle(self, link: Link) -> None:
         """Guards against closing on a set-up that has come and is not read yet."""
         is_open = any(leg.link is link and not leg.stands for leg in self.legs.values())
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -481,6 +481,22 @@
         assert {call for call, at in sent if at < closed_at - 0.05} <= set(ended)
 
 
+@program
+async def test_ending_alone_the_end_of_a_call_whose_connection_has_gone_is_told_on_another():
+    switch = Switch("s-1", 1)
+    async with World(switch) as world:
+        leaver, idle = await world.caller(), await world.caller()
+        standing, over = leaver.set_up(1), idle.set_up(1)
+        await leaver.next(standing, "answer")
+        await idle.next(over, "answer")
+        switch.bye(over)
+        assert (await idle.next(over))["type"] == "release"
+        leaver.close()
+        world.process.send_signal(signal.SIGTERM)
+        assert (await idle.next(standing))["type"] == "release"
+        assert await idle.silent(LONG)
+
+
 @program
 async def test_a_pause_belongs_to_its_process_and_an_ending_one_takes_no_orders():
     switch = Switch("s-1", 1)
