--- a/tests/standing_trial.py
+++ b/tests/standing_trial.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import random
+import signal
 import time
 from collections import Counter
 from dataclasses import dataclass, field
@@ -20,6 +21,7 @@
 UNSENT_TOLD_S = 8.0 + SLACK_S
 LAST_SET_UP_S = 2.5  # by then every set-up is answered or given up
 SETTLE_S = 8.5  # after the last end
+EARLIEST_KILL_S = 3.7  # after SIGTERM, as the longest deadline is over 3 s
 EARLY_WINDOW_S = 12.0  # a call may be told to be over that is not, so long after a fault of its switch
 
 
@@ -116,8 +118,8 @@
 
 
 class Trial:
-    def __init__(self, seed: int, seconds: float) -> None:
-        self.rng, self.seconds = random.Random(seed), seconds
+    def __init__(self, seed: int, seconds: float, shutdown: bool = False) -> None:
+        self.rng, self.seconds, self.shutdown = random.Random(seed), seconds, shutdown
         self.record = Record()
         self.switches = [TrialSwitch(f"s-{number}", number, self.rng, self.record) for number in (1, 2, 3)]
         self.tasks: set[asyncio.Task[None]] = set()
@@ -130,15 +132,32 @@
                 self.start(self.listen(caller))
             faults = [self.start(self.fail_switches()), self.start(self.fail_discovery())]
             await self.place_calls(callers)
-            await asyncio.gather(*faults)
-            await asyncio.sleep(LAST_SET_UP_S)
-            for switch in self.switches:
-                for call_id in list(switch.ends):
-                    switch.end(call_id)
-            await asyncio.sleep(SETTLE_S)
+            if self.shutdown:
+                await self.shut_down(world)
+            else:
+                await asyncio.gather(*faults)
+                await self.end_all()
             for task in self.tasks:
                 task.cancel()
 
+    async def end_all(self) -> None:
+        await asyncio.sleep(LAST_SET_UP_S)
+        for switch in self.switches:
+            for call_id in list(switch.ends):
+                switch.end(call_id)
+        await asyncio.sleep(SETTLE_S)
+
+    async def shut_down(self, world) -> None:
+        """SIGTERM among the faults: what stands then is over, and told, by the time of the earliest kill."""
+        self.record.faults.append((self.loop.time(), "discovery", "SIGTERM"))
+        killed_at = self.loop.time() + EARLIEST_KILL_S
+        world.process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout_at(killed_at):
+            await world.process.wait()
+        await asyncio.sleep(0.1)  # what was written is read
+        for call_id, call in self.record.calls.items():
+            self.record.over.setdefault((call.switch, call_id), killed_at - UNSENT_TOLD_S)
+
     def start(self, work) -> asyncio.Task[None]:
         task = asyncio.create_task(work)
         self.tasks.add(task)
@@ -263,6 +282,8 @@
                 told_wrongly.append(f"{call_id} on {call.switch} has no end in the trial")
             elif call.hung_up:
                 continue
+            elif self.shutdown and call.told_at is not None:
+                continue  # the other trials judge when
             elif call.told_at is None or call.told_at > over_at + UNSENT_TOLD_S:
                 late = "never told" if call.told_at is None else f"told {call.told_at - over_at:.2f} s late"
                 told_wrongly.append(
