With two connections to a switch: late answers end no newer call, each connection is watched

Checked on scratch copies with all log lines: the calls stood, and their end never came, or came when one more connection was opened. Ruled out: leases (no call was released for silence), the callers' side (no release was made).

Cause: since a connection is opened anew after one under standing calls has ended, two are often open. (1) The late answer to an attempt that was given up came on the one while a newer attempt stood by the other; _response released it, and as both have one Call-ID the switch ended the newer call. (2) A call whose own connection has gone is released on any open one; one that carries no call was asked for a sign of life after 2 s only, and its end opened no new one. Change: no release while a newer attempt is there; while a call is adrift each connection is watched like one under calls, and the end of any opens a new one. A log line for each connection opened. A test each; both fail without the change.

--- a/tansyspur/net/sip.py
+++ b/tansyspur/net/sip.py
@@ -68,6 +68,11 @@
         self.dial_timer: asyncio.TimerHandle | None = None
         self.expires_at = switch.loop.time() + order.wait_ms / 1000
 
+    @property
+    def adrift(self) -> bool:
+        """Whether it stands and the connection of its set-up has gone."""
+        return self.stands and self.link is not None and self.link.closed
+
     def tell(self, signal: SwitchSignal) -> None:
         if not self.over:
             self.over = isinstance(signal, Ended)
@@ -242,9 +247,11 @@
         """Guards against a link that stays open and brings nothing more: calls that end there would stand for
         ever, and the group's state would never change again."""
         now = self.loop.time()
+        # The release of a call whose connection has gone may come on any: each is in use then.
+        idle_s = QUIET_S if any(leg.adrift for leg in self.legs.values()) else IDLE_S
         used: dict[Link | None, float] = {}
         for leg in self.legs.values():
-            used[leg.link] = min(QUIET_S if leg.stands else UNANSWERED_S, used.get(leg.link, IDLE_S))
+            used[leg.link] = min(QUIET_S if leg.stands else UNANSWERED_S, used.get(leg.link, idle_s))
         for link in [link for link in self.links if not link.closed]:
             if self.asked.get(link, now) < link.heard_at:
                 del self.asked[link]
@@ -257,7 +264,7 @@
                     )  # fmt: skip
                     self.silent_links.add(link)
                     link.abort()
-            elif now - link.heard_at > used.get(link, IDLE_S):
+            elif now - link.heard_at > used.get(link, idle_s):
                 self.asked[link] = now
                 link.write(request("OPTIONS", "ping", f"ping-{next(self.probe_ids)}", 1))
 
@@ -376,6 +383,8 @@
             return False
         link = Link(reader, writer)
         self.links.append(link)
+        standing = sum(leg.stands for leg in self.legs.values())
+        self.log("info", "sip", "connection opened", switch=self.name, link=link.number, standing=standing)
         self.leases.connected(link, self.loop.time())
         self.dialled_at = self.loop.time()
         if self.unheard_since is not None and self.unheard_since <= started:
@@ -421,7 +430,7 @@
             self.leases.disconnected(link, silent=link in self.silent_links)
             self.silent_links.discard(link)
             self.releases.lost(link)
-            if any(leg.link is link and leg.stands for leg in self.legs.values()):
+            if any(leg.stands and (leg.link is link or leg.adrift) for leg in self.legs.values()):
                 self.unheard_since = self.loop.time()
             # The set-ups open on a connection are given up when it closes.
             cut = [leg for leg in self.legs.values() if leg.link is link and not leg.stands]
@@ -519,7 +528,8 @@
         # Guards against taking the answer to a second attempt for a late one: the switches match by Call-ID
         # and method, and answer every set-up with the number 1, so the number tells nothing.
         if leg is None or leg.link is not link:
-            if status < 300:
+            # Guards against a release that ends a newer attempt here: the switch knows both by one Call-ID.
+            if status < 300 and leg is None:
                 # Guards against an answer that lost the race with its CANCEL: it would stand for nobody.
                 self.bye(message.call_id, NORMAL_CLEARING, link)
             return
--- a/tests/test_silent_switch.py
+++ b/tests/test_silent_switch.py
@@ -163,3 +163,45 @@
         assert set(await releases(caller, 2)) == set(over)
         await standing(caller, 1, 1)
         assert old.count("INVITE") == 2 and new.count("INVITE") == 1 and new.count("BYE") == 0
+
+
+@program
+async def test_a_late_answer_on_another_connection_does_not_end_the_newer_attempt():
+    # After a silent end two connections may be open: the late answer to an attempt that was given up comes on
+    # one, and the call stands by a newer attempt, under the same Call-ID, on the other.
+    switch = Switch("s-1", 1, plan=["answer", "silent", "answer"])
+    async with World(switch, proxied=True) as world:
+        caller = await world.caller()
+        (standing_call,) = await standing(caller, 1, 1)
+        call = caller.set_up(1)
+        await switch.next("INVITE", call)
+        first = switch.origin[call]
+        switch.proxy.silence_connections()  # the attempt is given up with its connection, and made again
+        assert (await caller.next(call))["type"] == "answer"
+        assert switch.origin[call] is not first
+        await world.logged(
+            "connection opened", times=3
+        )  # at the start, for the attempt, for the lost releases
+        other = next(one for one in switch.writers if one not in (first, switch.origin[call]))
+        switch.send(other, "SIP/2.0 200 OK", call, "1 INVITE", body="late \r\nv=0\r\n")
+        byes = switch.count("BYE")
+        assert await releases(caller, 1) == {} and switch.count("BYE") == byes
+        for one in (call, standing_call):
+            switch.bye(one, writer=switch.origin[call])
+            assert (await caller.next(one))["type"] == "release"
+
+
+@program
+async def test_a_release_into_an_idle_silent_connection_is_heard_while_its_call_is_adrift():
+    # The call's own connection has gone, so the switch chooses any: here one that carries nothing and is silent.
+    switch = Switch("s-1", 1)
+    async with World(switch, proxied=True) as world:
+        caller = await world.caller()
+        (call,) = await standing(caller, 1, 1)
+        switch.proxy.silence_connections()
+        await world.logged("connection opened", times=3)
+        for number in (1, 2):
+            switch.proxy.connections[number].silent = number == 1
+        switch.bye(call, writer=switch.writers[1])
+        switch.untold[call] = 16
+        assert set(await releases(caller, 2)) == {call}
