Open a new connection as soon as one under standing calls is in doubt

Cause: with a second usable connection, a new one was opened only when the silent one was closed, 0.65 s after its last sign of life; with one, when it came into doubt, at 0.45 s. Change: a connection in doubt under standing calls, or any while a call is adrift, opens a new one at once.

--- a/tansyspur/net/sip.py
+++ b/tansyspur/net/sip.py
@@ -145,6 +145,7 @@
         self.waiting: list[SipLeg] = []
         self.releases = OwedReleases()
         self.silent_links: set[Link] = set()  # given up for their silence, and not ended yet
+        self.doubted: set[Link] = set()  # for whose calls a new connection was opened since they were asked
         self.asked: dict[Link, float] = {}  # links that owe a sign of life, and since when
         self.given_up: dict[str, None] = {}  # Call-IDs of attempts given up of late: an answer may still come
         self.probes: dict[str, Callable[[face.Outcome, face.Report | None], None]] = {}
@@ -247,15 +248,23 @@
         """Guards against a link that stays open and brings nothing more: calls that end there would stand for
         ever, and the group's state would never change again."""
         now = self.loop.time()
+        adrift = any(leg.adrift for leg in self.legs.values())
         # The release of a call whose connection has gone may come on any: each is in use then.
-        idle_s = QUIET_S if any(leg.adrift for leg in self.legs.values()) else IDLE_S
+        idle_s = QUIET_S if adrift else IDLE_S
         used: dict[Link | None, float] = {}
         for leg in self.legs.values():
             used[leg.link] = min(QUIET_S if leg.stands else UNANSWERED_S, used.get(leg.link, idle_s))
+        carrying = set(self.links) if adrift else {leg.link for leg in self.legs.values() if leg.stands}
         for link in [link for link in self.links if not link.closed]:
             if self.asked.get(link, now) < link.heard_at:
                 del self.asked[link]
+                self.doubted.discard(link)
             if link in self.asked:
+                doubtful = now - self.asked[link] > DOUBT_S
+                if doubtful and link not in self.doubted and link in carrying:
+                    # Guards against waiting for the close: a release may be lost already, and is owed in a second.
+                    self.doubted.add(link)
+                    self.unheard_since = now
                 # Guards against taking a pause of our own for silence: what has come is not read yet.
                 if now - self.asked[link] > PONG_S and not link.unread:
                     self.log(
@@ -429,6 +438,7 @@
             self.asked.pop(link, None)
             self.leases.disconnected(link, silent=link in self.silent_links)
             self.silent_links.discard(link)
+            self.doubted.discard(link)
             self.releases.lost(link)
             if any(leg.stands and (leg.link is link or leg.adrift) for leg in self.legs.values()):
                 self.unheard_since = self.loop.time()
