--- a/review/standins.py
+++ b/review/standins.py
@@ -22,7 +22,8 @@
 ROOT = Path(__file__).resolve().parent.parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 NS = 1_000_000_000
-DESCRIPTION = "{token}\r\nc=IN IP4 10.4.7.9\r\nm=audio 31000 RTP/AVP 0 8 101\r\n"
+TIME_LIMIT_S = 95  # of a play; its processes are ended after that, within the 120 s of a script
+DESCRIPTION = "{token}\r\nc=IN IP4 127.0.0.9\r\nm=audio 31000 RTP/AVP 0 8 101\r\n"
 
 
 class CannotRun(Exception):
@@ -451,7 +452,7 @@
     record = Record(folder)
 
     async def limited():
-        async with asyncio.timeout(110):
+        async with asyncio.timeout(TIME_LIMIT_S):
             return await play(record)
 
     record("case", f"TROUBLE={int(TROUBLE)}")
