Review case 1: the program stands still while its log is not read

Cause: Syslog._emit writes each line with a blocking print in the event loop, so a full pipe stops everything. Nothing of the program is changed.

--- a/review/standins.py
+++ b/review/standins.py
@@ -249,11 +249,31 @@
             writer.close()
 
 
+def quick_switch(name, number, record, size=80, holding_s=3.0):
+    """A switch that answers each set-up after 50 ms and releases the call holding_s later."""
+    switch = Switch(name, number, record, size)
+
+    def end(call_id):
+        if call_id in switch.standing:
+            switch.bye(call_id)
+
+    def answer(call_id, writer):
+        switch.answer(call_id, writer)
+        switch.later(holding_s, end, call_id)
+
+    switch.on_invite = lambda call_id, writer: switch.later(0.05, answer, call_id, writer)
+    return switch
+
+
 class Discovery:
-    """The command channel: serves numbered events from the requested one on, and the last number each second."""
+    """The command channel: serves numbered events from the requested one on, and the last number each second.
+
+    Its first line comes answer_delay_s after the request.
+    """
 
     def __init__(self, record):
         self.events, self.writers, self.record, self.server, self.port = [], [], record, None, 0
+        self.answer_delay_s = 0.0
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -263,6 +283,8 @@
     async def serve(self, reader, writer):
         with contextlib.suppress(OSError, ValueError, asyncio.CancelledError):
             _, cursor = (await reader.readline()).split()
+            self.record("discovery", f"read resume {int(cursor)}")
+            await asyncio.sleep(self.answer_delay_s)
             for event in self.events[int(cursor) :]:
                 writer.write(json.dumps(event).encode() + b"\n")
             self.writers.append(writer)
@@ -345,13 +367,52 @@
         return probe.getsockname()[1]
 
 
+class LogReader:
+    """The platform's reader of the log of a gatekeeper (what it writes to standard output and error), over a pipe."""
+
+    def __init__(self, record, name):
+        self.record, self.name, self.partial = record, name, b""
+        self.read_end, self.write_end = os.pipe()
+        os.set_blocking(self.read_end, False)
+
+    def start(self):
+        """Called when the process has its copy of the write end."""
+        os.close(self.write_end)
+        self.resume()
+
+    def pause(self):
+        asyncio.get_running_loop().remove_reader(self.read_end)
+
+    def resume(self):
+        asyncio.get_running_loop().add_reader(self.read_end, self.read)
+
+    def read(self):
+        try:
+            data = os.read(self.read_end, 1 << 16)
+        except BlockingIOError:
+            return
+        if not data:
+            return self.pause()
+        *lines, self.partial = (self.partial + data).split(b"\n")
+        for line in lines:
+            self.record(self.name, line.decode(errors="replace").strip())
+
+    def close(self):
+        """Read what is left, and go."""
+        if self.read_end is not None:
+            self.pause()
+            self.read()
+            os.close(self.read_end)
+            self.read_end = None
+
+
 class World:
     """A gatekeeper process among the stand-ins. All that it started is ended when the block is left."""
 
     def __init__(self, record, *switches, gatekeepers=3):
         self.record, self.switches, self.gatekeepers = record, switches, gatekeepers
         self.discovery = Discovery(record)
-        self.processes, self.log_tasks = [], []
+        self.processes, self.logs = [], []
 
     async def __aenter__(self):
         await self.discovery.start()
@@ -388,17 +449,19 @@
         """Start a gatekeeper by the deploy file's `run`, and wait until it says that it is ready to serve."""
         run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
         console_port = free_port()
+        log = LogReader(self.record, f"gatekeeper {len(self.processes) + 1} log")
         process = await asyncio.create_subprocess_exec(
-            "/bin/sh", "-c", run, cwd=ROOT, stderr=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE,
+            "/bin/sh", "-c", run, cwd=ROOT, stderr=log.write_end, stdout=log.write_end,
             env={
                 **os.environ, "ROUTER_NAME": "n0", "ROUTER_LISTEN": f"127.0.0.1:{self.port}",
                 "ROUTER_CONFIG": str(self.config), "TMPDIR": self.temporary,
                 "ROUTER_CONSOLE": f"127.0.0.1:{console_port}",
             },
         )  # fmt: skip
+        log.start()
         self.processes.append(process)
+        self.logs.append(log)
         name = f"gatekeeper {len(self.processes)}"
-        self.log_tasks.append(asyncio.get_running_loop().create_task(self.read_log(name, process)))
         self.record(name, f"started: {run}")
         for _ in range(150):
             if process.returncode is not None:
@@ -419,10 +482,6 @@
                 return answer
         return ""
 
-    async def read_log(self, name, process):
-        while line := await process.stderr.readline():
-            self.record(name + " log", line.decode(errors="replace").strip())
-
     async def caller(self, name="caller"):
         return await Caller(self.record, name).connect(self.port)
 
@@ -437,7 +496,8 @@
             if process.returncode is None:
                 process.kill()
                 await process.wait()
-        await asyncio.gather(*self.log_tasks)
+        for log in self.logs:
+            log.close()
         for server in (self.discovery, *self.switches):
             if server.server:
                 server.server.close()
