Review case 3: an IAX2 handset that dials again is never answered

Cause: Endpoint._receive_full takes a NEW from the address and call number of a call that ended less than 15 s ago for its retransmission if the elements are the same, and only acknowledges it. Nothing of the program is changed.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,95 +1,76 @@
-"""A second copy of a refusal ends the next attempt of the call, and a third is sent while the second is out."""
+"""A handset that was turned away dials the same number again under the same call number: it is never answered."""
 
 import asyncio
 import sys
-import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
+sys.path.insert(0, str(FOLDER))
 
-from standins import TROUBLE, CannotRun, Switch, World, main  # noqa: E402
+from handset import Handset  # noqa: E402
+from standins import TROUBLE, CannotRun, World, free_port, main, quick_switch  # noqa: E402
 
-CALLS, INTERVAL_S = 2200, 0.025
-HOLDING_S = 3.0
-ANSWER_DELAY_S = 0.15  # of a switch that is in no hurry
-ERROR_AT = 501  # the one set-up of each switch that gets an error: 1 of more than 1,000
-SECOND_COPY_EVERY = 3  # of the set-ups that a switch reads
-SECOND_COPY_DELAY_S = 0.005  # "some milliseconds late"
-SLACK_S = 0.05  # the pages' slack
+HANDSETS, BACKOFF_S, TRIES = 5, 1.5, 3  # site: backoff_ms 480 to 1500, up to 3 further tries
+DEADLINE_S = 3.0
+LOST_AFTER_S = 0.5 + 0.05  # STANDING's half second, and PROTOCOL's 50 ms
+OPERATOR = """
+[iax2]
+listen = "127.0.0.1:{port}"
+guests = true
 
+[[iax2.number]]
+prefix = "21"
+exchange = 1
+class = "box-lookup"
+deadline_ms = 3000
+"""
 
-def make_switch(name, number, record):
-    switch = Switch(name, number, record, size=140)
-    count = 0
 
-    def end(call_id):
-        if call_id in switch.standing:
-            switch.bye(call_id)
-
-    def second_copy(call_id, writer, status, body):
-        record(name, f"wrote a second copy of {status} to INVITE {call_id}")
-        switch.send(writer, f"SIP/2.0 {status} No", call_id, "1 INVITE", body=body)
-
-    def answer(call_id, writer, copied):
-        if writer not in switch.open.get(call_id, ()):
-            return
-        switch.answer(call_id, writer)
-        switch.later(HOLDING_S, end, call_id)
-        if copied:
-            switch.later(SECOND_COPY_DELAY_S, second_copy, call_id, writer, 200, switch.description(call_id))
+async def play(record):
+    switch = quick_switch("s-oujda", 1, record)
+    answer, full = switch.on_invite, True
 
     def on_invite(call_id, writer):
-        nonlocal count
-        count += 1
-        copied = TROUBLE and count % SECOND_COPY_EVERY == 0
-        if count == ERROR_AT:
-            switch.refuse(call_id, writer, 500)
-            if copied:
-                switch.later(SECOND_COPY_DELAY_S, second_copy, call_id, writer, 500, "")
-        else:
-            switch.later(ANSWER_DELAY_S, answer, call_id, writer, copied)
+        if full:  # the processor is full: the set-up never ran
+            return switch.later(0.02, switch.refuse, call_id, writer, 503, "X-Cause: cpu_full")
+        return answer(call_id, writer)
 
     switch.on_invite = on_invite
-    return switch
-
-
-async def play(record):
-    switches = [make_switch(name, number, record) for number, name in enumerate(("s-oujda", "s-casa"), 1)]
-    async with World(record, *switches) as world:
-        caller, started = await world.caller(), time.monotonic()
-        calls = []
-        for index in range(CALLS):
-            calls.append(caller.set_up(1 + index % 2))
-            await asyncio.sleep(max(0.0, started + (index + 1) * INTERVAL_S - time.monotonic()))
-        rows = [await caller.wait(call_id) for call_id in calls]
-        record(
-            "case",
-            f"{sum(row is not None and row['type'] == 'answer' for row in rows)} of {CALLS} calls served",
-        )
-        for switch in switches:
-            record("case", f"{switch.name}: {len(switch.attempts)} set-ups read, 1 got an error")
-            if len(switch.attempts) < 1000:
-                raise CannotRun("too few set-ups for the share of errors that the site allows")
-        await asyncio.sleep(HOLDING_S + 0.5)
-    breaches = []
-    for switch in switches:
-        for earlier, later in pairs_of_one_call(switch.attempts):
-            ended = earlier[2] if earlier[2] is not None else later[1] + 60
-            if later[1] < ended - SLACK_S:
-                breaches.append(
-                    f"call {later[0]}: two attempts out at {switch.name} at once, for {ended - later[1]:.3f} s"
-                )
-    return breaches
-
-
-def pairs_of_one_call(attempts):
-    """Each attempt with the one before it of the same call, in the order in which they were read."""
-    last = {}
-    for attempt in attempts:
-        if attempt[0] in last:
-            yield last[attempt[0]], attempt
-        last[attempt[0]] = attempt
+    port = free_port()
+    async with World(record, switch, operator=OPERATOR.format(port=port)) as world:
+        handsets = [
+            await Handset(record, f"handset {n + 1}", ("127.0.0.1", port)).start() for n in range(HANDSETS)
+        ]
+        unanswered = []
+
+        async def call(handset, n):
+            nonlocal full
+            limit_s = DEADLINE_S + LOST_AFTER_S
+            await asyncio.sleep(0.3 * n)
+            handset.dial(f"21{n:02}")
+            first = await handset.wait_final(limit_s)
+            if first is None or not first.startswith("HANGUP"):
+                raise CannotRun(f"the first try was not refused: {first}")
+            for attempt in range(TRIES if TROUBLE else 0):
+                await asyncio.sleep(BACKOFF_S)
+                full = False  # the switch has room by now
+                handset.dial(f"21{n:02}")
+                final = await handset.wait_final(limit_s)
+                record("case", f"{handset.name}, try {attempt + 2}: {final or 'no final answer'}")
+                if final is None:
+                    unanswered.append(handset.name)
+                    return
+                if final == "ANSWER":
+                    await asyncio.sleep(1)
+                    handset.hang_up()
+                    return
+
+        await asyncio.gather(*(call(handset, n) for n, handset in enumerate(handsets)))
+        record("gatekeeper", (await world.console("METRICS", world.console_port)).replace("\n", " "))
+        for handset in handsets:
+            handset.close()
+    return [f"{name}: no final answer to its second try" for name in unanswered]
 
 
 main(FOLDER, play)
--- a/review/standins.py
+++ b/review/standins.py
@@ -409,8 +409,9 @@
 class World:
     """A gatekeeper process among the stand-ins. All that it started is ended when the block is left."""
 
-    def __init__(self, record, *switches, gatekeepers=3):
+    def __init__(self, record, *switches, gatekeepers=3, operator=""):
         self.record, self.switches, self.gatekeepers = record, switches, gatekeepers
+        self.operator = operator  # text of the operator's file; without it the gatekeeper gets none
         self.discovery = Discovery(record)
         self.processes, self.logs = [], []
 
@@ -448,6 +449,10 @@
     async def launch(self):
         """Start a gatekeeper by the deploy file's `run`, and wait until it says that it is ready to serve."""
         run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
+        if self.operator:
+            path = Path(self.folder.name, "operator.toml")
+            path.write_text(self.operator)
+            run += f" --operator {path}"
         console_port = free_port()
         log = LogReader(self.record, f"gatekeeper {len(self.processes) + 1} log")
         process = await asyncio.create_subprocess_exec(
