--- a/review/standins.py
+++ b/review/standins.py
@@ -97,6 +97,7 @@
         self.writers, self.tasks, self.muted = [], set(), set()
         self.open, self.standing, self.released, self.descriptions = {}, {}, {}, {}
         self.attempts = []  # each set-up that was read: [Call-ID, when it was read, when it ended or None]
+        self.ended = {}  # when the switch released a call
         self.server, self.port, self.pending_byes = None, 0, {}
 
     async def start(self, port=0):
@@ -221,7 +222,7 @@
         """The call has come to its end: release it on the connection of its set-up, else on any open one."""
         writer = self.standing.pop(call_id)
         self.record(self.name, f"BYE {call_id} cause {cause}: the call is over")
-        self.pending_byes[call_id] = cause
+        self.pending_byes[call_id], self.ended[call_id] = cause, time.monotonic()
         usable = [writer, *self.writers]
         for candidate in usable:
             if not candidate.is_closing():
