--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,76 +1,56 @@
-"""A handset that was turned away dials the same number again under the same call number: it is never answered."""
+"""Discovery is slow to answer: the gatekeeper never hears from it, and sends on to a switch that drains."""
 
 import asyncio
 import sys
+import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
-sys.path.insert(0, str(FOLDER))
 
-from handset import Handset  # noqa: E402
-from standins import TROUBLE, CannotRun, World, free_port, main, quick_switch  # noqa: E402
+from standins import TROUBLE, CannotRun, World, main, quick_switch  # noqa: E402
 
-HANDSETS, BACKOFF_S, TRIES = 5, 1.5, 3  # site: backoff_ms 480 to 1500, up to 3 further tries
-DEADLINE_S = 3.0
-LOST_AFTER_S = 0.5 + 0.05  # STANDING's half second, and PROTOCOL's 50 ms
-OPERATOR = """
-[iax2]
-listen = "127.0.0.1:{port}"
-guests = true
-
-[[iax2.number]]
-prefix = "21"
-exchange = 1
-class = "box-lookup"
-deadline_ms = 3000
-"""
+ANSWER_DELAY_S = 3.0  # from `resume N` to the first line; later lines are on time
+LENGTH_S, INTERVAL_S, DRAIN_AT_S = 30.0, 0.1, 10.0
+TOLD_AFTER_S = 7.0  # PROTOCOL: told 7 s later at the latest, whether it arrived or not
+DRAIN_GRACE_S = 0.25 + 0.05  # the settings' drain-grace-ns, and PROTOCOL's 50 ms
 
 
 async def play(record):
-    switch = quick_switch("s-oujda", 1, record)
-    answer, full = switch.on_invite, True
-
-    def on_invite(call_id, writer):
-        if full:  # the processor is full: the set-up never ran
-            return switch.later(0.02, switch.refuse, call_id, writer, 503, "X-Cause: cpu_full")
-        return answer(call_id, writer)
-
-    switch.on_invite = on_invite
-    port = free_port()
-    async with World(record, switch, operator=OPERATOR.format(port=port)) as world:
-        handsets = [
-            await Handset(record, f"handset {n + 1}", ("127.0.0.1", port)).start() for n in range(HANDSETS)
-        ]
-        unanswered = []
-
-        async def call(handset, n):
-            nonlocal full
-            limit_s = DEADLINE_S + LOST_AFTER_S
-            await asyncio.sleep(0.3 * n)
-            handset.dial(f"21{n:02}")
-            first = await handset.wait_final(limit_s)
-            if first is None or not first.startswith("HANGUP"):
-                raise CannotRun(f"the first try was not refused: {first}")
-            for attempt in range(TRIES if TROUBLE else 0):
-                await asyncio.sleep(BACKOFF_S)
-                full = False  # the switch has room by now
-                handset.dial(f"21{n:02}")
-                final = await handset.wait_final(limit_s)
-                record("case", f"{handset.name}, try {attempt + 2}: {final or 'no final answer'}")
-                if final is None:
-                    unanswered.append(handset.name)
-                    return
-                if final == "ANSWER":
-                    await asyncio.sleep(1)
-                    handset.hang_up()
-                    return
-
-        await asyncio.gather(*(call(handset, n) for n, handset in enumerate(handsets)))
-        record("gatekeeper", (await world.console("METRICS", world.console_port)).replace("\n", " "))
-        for handset in handsets:
-            handset.close()
-    return [f"{name}: no final answer to its second try" for name in unanswered]
+    names = ("s-oujda", "s-casa", "s-marrakech")
+    switches = [quick_switch(name, number, record) for number, name in enumerate(names, 1)]
+    drained = switches[0]
+    world = World(record, *switches)
+    world.discovery.answer_delay_s = ANSWER_DELAY_S if TROUBLE else 0.0
+    async with world:
+        caller = await world.caller()
+        started, told_at, count = time.monotonic(), None, 0
+        while (now := time.monotonic() - started) < LENGTH_S:
+            if told_at is None and now >= DRAIN_AT_S:
+                told_at = time.monotonic()
+                record("discovery", f"event {len(world.discovery.events) + 1}: {drained.name} is draining")
+                world.discovery.event(drained.entry(status="draining"))
+            caller.set_up(1 + count % len(switches))
+            count += 1
+            await asyncio.sleep(INTERVAL_S)
+        await asyncio.sleep(4)
+        limit_s = TOLD_AFTER_S + DRAIN_GRACE_S
+        before = [read_at for _, read_at, _ in drained.attempts if read_at < told_at]
+        late = [(call_id, read_at - told_at) for call_id, read_at, _ in drained.attempts]
+        late = [(call_id, after_s) for call_id, after_s in late if after_s > limit_s]
+        if len(before) < 0.9 * DRAIN_AT_S / INTERVAL_S / len(switches):
+            raise CannotRun("calls before the drain were not served")
+        for call_id, after_s in late:
+            record("case", f"{drained.name} read set-up {call_id} {after_s:.2f} s after its drain was told")
+        record(
+            "case", f"{drained.name} read {len(before)} set-ups before its drain, {len(late)} too late after"
+        )
+    if not late:
+        return []
+    return [
+        f"{len(late)} new set-ups to {drained.name} more than {limit_s:.2f} s after its drain was in the command "
+        f"channel, the last one {late[-1][1]:.1f} s after"
+    ]
 
 
 main(FOLDER, play)
--- a/review/standins.py
+++ b/review/standins.py
@@ -362,6 +362,42 @@
         self.writer.close()
 
 
+class Proxy:
+    """Passes connections on to a port. silence() leaves the present ones open, and nothing passes on them any more."""
+
+    def __init__(self, record, target):
+        self.record, self.target, self.pumps, self.writers = record, target, set(), []
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def serve(self, reader, writer):
+        far_reader, far_writer = await asyncio.open_connection("127.0.0.1", self.target)
+        self.writers += [writer, far_writer]
+        for pair in ((reader, far_writer), (far_reader, writer)):
+            task = asyncio.get_running_loop().create_task(self.pump(*pair))
+            self.pumps.add(task)
+            task.add_done_callback(self.pumps.discard)
+
+    async def pump(self, reader, writer):
+        with contextlib.suppress(OSError):
+            while data := await reader.read(1 << 16):
+                writer.write(data)
+        writer.close()
+
+    def silence(self):
+        self.record("proxy", f"nothing passes any more on the {len(self.pumps) // 2} open connections")
+        for task in self.pumps:
+            task.cancel()
+
+    def close(self):
+        self.server.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
+
 def free_port():
     with socket.socket() as probe:
         probe.bind(("127.0.0.1", 0))
