Log how long a connection of discovery was open and how many lines came on it

The log could not tell a connection on which discovery never answered from one that fell silent after lines, or on which lines came that were not understood.

Change: 'connection ended' carries lines and open_ms.

--- a/tansyspur/net/channel.py
+++ b/tansyspur/net/channel.py
@@ -192,13 +192,16 @@
             )
 
     async def _read_events(self, link: Link) -> None:
+        lines = 0
+
         def on_data(chunks: Chunks) -> bool:
+            nonlocal lines
             silence_timeout.reschedule(link.loop.time() + SILENCE_TIMEOUT_S)
-            any_taken = False
+            lines_before = lines
             while (line := chunks.take_line()) is not None:
+                lines += 1
                 self._on_line(line)
-                any_taken = True
-            return any_taken
+            return lines > lines_before
 
         how_ended = "silent"
         try:
@@ -219,4 +222,6 @@
             f"connection ended: {how_ended}; reconnecting",
             link=link.number,
             cursor=self.cursor,
+            lines=lines,
+            open_ms=int((link.loop.time() - link.opened_at) * 1000),
         )
