Open a connection to discovery beside a late one, and use the first that answers

Cause: net/channel.py gave a connection up 2.5 s after it was opened without a line (SILENCE_TIMEOUT_S, meant for the line of each second), and run() began again with the same limit and the same request. A discovery slower than that was never heard. The same cause on related paths of the file: an event whose second half comes after 2.5 s (read_all's limit on incomplete messages), one that comes in small pieces for longer than that, and a dial that takes over 1 s (DIAL_TIMEOUT_S).

Change: a slow discovery and a lost connection look the same, so neither a short nor a long limit is right. A late connection stays open, another one is opened beside it (2.5 s after the last sign, 1.25 s after a dial), and the first that delivers a readable line is used; the others are closed. Four at most; the oldest stays, and of the others the one closest to its predecessor goes, so that their ages grow and any delay is met, also when the oldest is lost. net/attempt_schedule.py decides (no I/O), net/channel_connections.py dials and reads, net/channel.py keeps the events. Considered: a longer limit (a lost connection is then replaced too late for the 6 s after discovery is back); a limit that doubles (hears a 3 s discovery after 5.75 s, and the same drawback).

--- a/tansyspur/core/metrics.py
+++ b/tansyspur/core/metrics.py
@@ -37,7 +37,7 @@
         self.call_ends: Counter[EndReason] = Counter()  # of answered calls
         self.deliveries: Counter[Delivery] = Counter()  # of the releases of answered calls
         self.switch_losses = 0  # times that a switch lost its last connection
-        self.channel_losses = 0  # times that the connection of the command channel ended
+        self.channel_losses = 0  # times that a connection of the command channel ended
 
     def add_classes(self, classes: Iterable[str]) -> None:
         """Count calls of these classes from now on. A class that the settings no longer name keeps its count."""
--- a/tansyspur/net/channel.py
+++ b/tansyspur/net/channel.py
@@ -3,22 +3,14 @@
 import asyncio
 import json
 import math
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from typing import Any
 
 from tansyspur import interface
 from tansyspur.core.metrics import Metrics
 from tansyspur.core.ports import SwitchListing
-from tansyspur.net.framing import Chunks
-from tansyspur.net.link import Link
-from tansyspur.net.peers import parse_address
-
-# A cursor arrives each second, so a longer silence shows a lost connection. Events sent during the silence must be
-# known at most 4 s after it ends.
-SILENCE_TIMEOUT_S = 2.5
-MAX_EVENT_BYTES = 256 * 1024  # a complete list is one event, and may be longer than other messages
-DIAL_TIMEOUT_S = 1.0
-RECONNECT_DELAY_S = 0.25
+from tansyspur.net.channel_connections import ChannelConnections, Spawn
+
 MAX_STEADY_GAP_S = 3.0  # a longer gap between lines shows that discovery may have missed a change
 STATE_BY_STATUS = {
     "up": interface.SwitchState.IN_SERVICE,
@@ -27,7 +19,6 @@
 }
 
 Log = Callable[..., None]
-Spawn = Callable[[Coroutine[Any, Any, None], str], asyncio.Task[None]]
 OnList = Callable[[interface.SwitchListKind, list[SwitchListing]], None]
 
 
@@ -64,24 +55,24 @@
         self.on_list, self.spawn, self.log = on_list, spawn, log
         self.cursor = 0
         self.requested_after = -1  # the cursor at which a missing event was last requested
-        self.task: asyncio.Task[None] | None = None
+        self.connections: ChannelConnections | None = None  # None until started, and without an address
         self.caught_up = asyncio.Event()  # set once the events up to a cursor of the channel are applied
-        self.lost_at: float | None = None  # since when there is no connection, in loop time
-        self.failed_dials = 0  # since lost_at
         self.last_line_at = -math.inf  # loop time
         self.steady_from = -math.inf  # first line since which lines came without a gap, loop time
 
     def start(self) -> None:
         if self.address:
-            self.task = self.spawn(self.run(self.address), "command channel")
+            self.connections = ChannelConnections(
+                self.address, self._make_request, self._on_line, self.spawn, self._log, self.metrics
+            )
 
     def change_address(self, address: str | None) -> None:
         """Connect to another address, and request the events after the current cursor there."""
         if address == self.address:
             return
         self.address = address
-        if self.task:
-            self.task.cancel()  # no await lies between applying an event and setting its cursor
+        if self.connections:
+            self.connections.close()  # no await lies between applying an event and setting its cursor
         self.start()
 
     def load_known_events(self, known_events: dict[str, Any]) -> None:
@@ -98,7 +89,7 @@
         if "nodes" not in event:
             # A cursor alone may arrive before its event, so it must not mark the event as applied.
             return self._check_gap(cursor)
-        if self.task:
+        if self.connections:
             self._check_gap(cursor - 1)
         self.cursor = cursor
         nodes = event.get("nodes")
@@ -127,20 +118,24 @@
             self.steady_from = now
         self.last_line_at = now
 
-    def _on_line(self, line: memoryview) -> None:
+    def _on_line(self, line: memoryview) -> bool:
+        """Apply one line, and return whether it could be read. Raises ConnectionError for a missing event."""
         if not line.tobytes().strip():
-            return
+            return False
         self._note_received()
         try:
             row = json.loads(str(line, "utf-8"))
         except (ValueError, RecursionError):
-            return self.log("warning", "channel", "line that is not JSON ignored")
+            self.log("warning", "channel", "line that is not JSON ignored")
+            return False
         if isinstance(row, int):
             row = {"cursor": row}
-        if isinstance(row, dict):
-            self._on_event(row)
-            if "nodes" not in row:
-                self.caught_up.set()
+        if not isinstance(row, dict):
+            return False
+        self._on_event(row)
+        if "nodes" not in row:
+            self.caught_up.set()
+        return True
 
     def _check_gap(self, cursor: int) -> None:
         """Raise ConnectionError if events up to cursor are missing, so that a reconnect requests them.
@@ -151,77 +146,8 @@
             self.requested_after = self.cursor
             raise ConnectionError(f"event {self.cursor + 1} is missing")
 
-    async def run(self, address: str) -> None:
-        """Stay connected, and resume from the last applied event after each reconnect."""
-        while True:
-            try:
-                async with asyncio.timeout(DIAL_TIMEOUT_S):
-                    reader, writer = await asyncio.open_connection(*parse_address(address))
-            except (TimeoutError, OSError) as error:
-                self._on_dial_failed(address, error)
-                await asyncio.sleep(RECONNECT_DELAY_S)
-                continue
-            link = Link(reader, writer, MAX_EVENT_BYTES)
-            self._on_connected(address, link)
-            link.write(b"resume %d\n" % self.cursor)
-            await self._read_events(link)
-            await asyncio.sleep(RECONNECT_DELAY_S)
-
-    def _on_connected(self, address: str, link: Link) -> None:
-        away_ms = int((link.loop.time() - self.lost_at) * 1000) if self.lost_at else 0
-        self.log(
-            "notice", "channel", "connected", address=address, link=link.number, cursor=self.cursor,
-            away_ms=away_ms, failed_dials=self.failed_dials,
-        )  # fmt: skip
-        self.lost_at, self.failed_dials = None, 0
-
-    def _on_dial_failed(self, address: str, error: Exception) -> None:
-        """Log the first failed dial only; their number is logged when a connection comes up."""
-        self.failed_dials += 1
-        if self.lost_at is None:
-            self.lost_at = asyncio.get_running_loop().time()
-        if self.failed_dials == 1:
-            reason = type(error).__name__
-            self.log(
-                "warning",
-                "channel",
-                "connection failed; retrying",
-                address=address,
-                reason=reason,
-                cursor=self.cursor,
-            )
+    def _make_request(self) -> bytes:
+        return b"resume %d\n" % self.cursor
 
-    async def _read_events(self, link: Link) -> None:
-        lines = 0
-
-        def on_data(chunks: Chunks) -> bool:
-            nonlocal lines
-            silence_timeout.reschedule(link.loop.time() + SILENCE_TIMEOUT_S)
-            lines_before = lines
-            while (line := chunks.take_line()) is not None:
-                lines += 1
-                self._on_line(line)
-            return lines > lines_before
-
-        how_ended = "silent"
-        try:
-            async with asyncio.timeout(SILENCE_TIMEOUT_S) as silence_timeout:
-                how_ended = await link.read_all(on_data, SILENCE_TIMEOUT_S, link.abort)
-        except TimeoutError:
-            pass
-        except Exception as error:  # noqa: BLE001 - a malformed event must cost no more than a reconnect
-            how_ended = repr(error)
-        finally:
-            link.abort()
-        self.metrics.channel_losses += 1
-        if self.lost_at is None:
-            self.lost_at = link.loop.time()
-        self.log(
-            "notice",
-            "channel",
-            f"connection ended: {how_ended}; reconnecting",
-            link=link.number,
-            cursor=self.cursor,
-            lines=lines,
-            open_ms=int((link.loop.time() - link.opened_at) * 1000),
-        )
+    def _log(self, level: str, text: str, **params: object) -> None:
+        self.log(level, "channel", text, cursor=self.cursor, **params)
--- a/tansyspur/net/link.py
+++ b/tansyspur/net/link.py
@@ -4,6 +4,7 @@
 import contextlib
 import fcntl
 import itertools
+import math
 import socket
 import termios
 from array import array
@@ -50,14 +51,15 @@
     async def read_all(
         self,
         on_data: Callable[[Chunks], bool],
-        incomplete_timeout_s: float,
-        on_incomplete: Callable[[], None],
+        incomplete_timeout_s: float = math.inf,
+        on_incomplete: Callable[[], None] | None = None,
     ) -> str:
         """Read until the connection ends, and return how it ended: "closed" or the text of the system error.
 
         on_data consumes complete messages from the chunks and returns whether there were any; a FramingError that it
-        raises goes through to the caller. on_incomplete() is called when a message has begun and is not complete within
-        incomplete_timeout_s: where a length is wrong, all that follows would be taken for a part of that message.
+        raises goes through to the caller. on_incomplete(), if given, is called when a message has begun and is not
+        complete within incomplete_timeout_s: where a length is wrong, all that follows would be taken for a part of
+        that message.
         """
         incomplete_timer: asyncio.TimerHandle | None = None
         try:
@@ -70,7 +72,7 @@
                 if incomplete_timer and (taken or not self.chunks.view):
                     incomplete_timer.cancel()
                     incomplete_timer = None
-                if self.chunks.view and not incomplete_timer:
+                if self.chunks.view and on_incomplete and not incomplete_timer:
                     incomplete_timer = self.loop.call_later(incomplete_timeout_s, on_incomplete)
                 if len(chunk) == READ_BYTES:
                     # A read of bytes that are available never waits: without this a flooding connection would
--- /dev/null
+++ b/tests/test_slow_discovery.py
@@ -0,0 +1,215 @@
+"""Changes of the switch list are heard in time from a discovery that is slow to accept, to answer or to finish a line.
+
+Guards against limits that end a connection which is only slow, and then begin again with the same limit: the list was
+never heard of, and set-ups went to draining switches for ever. A connection that is lost without a sign must still be
+replaced in time, although it looks the same as a slow one.
+"""
+
+import asyncio
+import contextlib
+import json
+from typing import NamedTuple
+
+import pytest
+
+from tansyspur import interface
+from tansyspur.core.metrics import Metrics
+from tansyspur.net import channel_connections
+from tansyspur.net.channel import Channel
+from tests.test_program import async_test
+from tests.world import Switch, World
+
+TOLD_LIMIT_S = 7.0  # PROTOCOL, "Figures": told this long after discovery had it, whether it arrived or not
+DRAIN_GRACE_S = 0.25 + 0.05  # drain-grace-ns of the tests' settings, and the slack of PROTOCOL
+NO_ANSWER_S = 600.0
+
+DRAIN = {
+    "cursor": 1,
+    "nodes": {
+        "index": 1,
+        "snapshot": False,
+        "endpoints": [{"name": "s-1", "address": "127.0.0.1:9", "group": 1, "status": "draining"}],
+    },
+}
+DRAIN_LINE = json.dumps(DRAIN).encode() + b"\n"
+
+
+class Connection(NamedTuple):
+    """A connection to the stand-in discovery, the request of which has been read."""
+
+    number: int  # from 1
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+
+class Receiver:
+    """A Channel and the time at which it reported the first list, in seconds after its start."""
+
+    def __init__(self, port):
+        self.loop = asyncio.get_running_loop()
+        self.heard, self.tasks, self.started_at, self.log_lines = asyncio.Event(), [], self.loop.time(), []
+        self.heard_after_s = None
+        self.metrics = Metrics()
+        self.channel = Channel(f"127.0.0.1:{port}", self.on_list, self.spawn, self.log, self.metrics)
+
+    def on_list(self, kind, rows):
+        assert [row.state for row in rows] == [interface.SwitchState.DRAINING]
+        self.heard_after_s = self.loop.time() - self.started_at
+        self.heard.set()
+
+    def spawn(self, coroutine, name):
+        self.tasks.append(self.loop.create_task(coroutine, name=name))
+        return self.tasks[-1]
+
+    def log(self, level, msgid, text, /, **params):
+        self.log_lines.append(f"{level} {msgid} {text} {params}")
+
+
+@contextlib.asynccontextmanager
+async def receiver_of(answer):
+    """A started Receiver, and a discovery that calls answer(connection) for each connection."""
+    numbers, failures = iter(range(1, 1000)), []
+
+    async def serve(reader, writer):
+        with contextlib.suppress(OSError, asyncio.CancelledError):
+            number = next(numbers)
+            if await reader.readline() != b"resume 0\n":
+                failures.append("unexpected request")
+            await answer(Connection(number, reader, writer))
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    receiver = Receiver(server.sockets[0].getsockname()[1])
+    receiver.channel.start()
+    try:
+        yield receiver
+    finally:
+        for task in receiver.tasks:
+            task.cancel()
+        results = await asyncio.gather(*receiver.tasks, return_exceptions=True)
+        server.close()
+    assert not failures
+    assert all(isinstance(result, asyncio.CancelledError | None) for result in results), results
+
+
+async def wait_until_told(receiver, limit_s=TOLD_LIMIT_S):
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(limit_s):
+            await receiver.heard.wait()
+    assert receiver.heard.is_set(), f"not told within {limit_s} s: {receiver.log_lines}"
+
+
+async def send_lines_forever(writer):
+    while True:
+        writer.write(b"1\n")
+        await writer.drain()
+        await asyncio.sleep(1)
+
+
+@pytest.mark.parametrize("delay_s", [3.0, 6.0])
+@async_test
+async def test_a_change_is_heard_though_the_first_line_comes_late_on_every_connection(delay_s):
+    # The limit on silence was shorter than the delay, and each new connection got the same limit.
+    async def answer(connection):
+        await asyncio.sleep(delay_s)
+        connection.writer.write(DRAIN_LINE)
+        await send_lines_forever(connection.writer)
+
+    async with receiver_of(answer) as receiver:
+        await wait_until_told(receiver)
+
+
+@async_test
+async def test_a_change_is_heard_though_its_second_half_comes_late_on_every_connection():
+    # An event that was not complete within the limit on silence closed its connection, and was never received.
+    async def answer(connection):
+        connection.writer.write(DRAIN_LINE[:60])
+        await asyncio.sleep(3)
+        connection.writer.write(DRAIN_LINE[60:])
+        await send_lines_forever(connection.writer)
+
+    async with receiver_of(answer) as receiver:
+        await wait_until_told(receiver)
+
+
+@async_test
+async def test_a_change_is_heard_though_it_comes_byte_by_byte_for_longer_than_any_limit_on_silence():
+    async def answer(connection):
+        for byte in DRAIN_LINE:
+            connection.writer.write(bytes([byte]))
+            await asyncio.sleep(4.0 / len(DRAIN_LINE))
+        await send_lines_forever(connection.writer)
+
+    async with receiver_of(answer) as receiver:
+        await wait_until_told(receiver)
+
+
+@async_test
+async def test_a_change_is_heard_though_every_connection_takes_long_to_be_established(monkeypatch):
+    # The limit on dials was shorter than that, and each new dial got the same limit.
+    open_connection = asyncio.open_connection
+
+    async def open_late(*args):
+        await asyncio.sleep(2.5)
+        return await open_connection(*args)
+
+    async def answer(connection):
+        connection.writer.write(DRAIN_LINE)
+        await send_lines_forever(connection.writer)
+
+    monkeypatch.setattr(channel_connections.asyncio, "open_connection", open_late)
+    async with receiver_of(answer) as receiver:
+        await wait_until_told(receiver)
+
+
+@async_test
+async def test_a_change_is_heard_though_the_first_connection_was_lost_without_a_sign():
+    # Waiting longer for a slow discovery must not mean waiting for a connection that is lost.
+    async def answer(connection):
+        await asyncio.sleep(NO_ANSWER_S if connection.number == 1 else 3.0)
+        connection.writer.write(DRAIN_LINE)
+        await send_lines_forever(connection.writer)
+
+    async with receiver_of(answer) as receiver:
+        await wait_until_told(receiver)
+
+
+@async_test
+async def test_the_connections_left_over_are_closed_once_discovery_has_answered():
+    # Discovery serves many gatekeepers; each must cost it one connection as soon as it answers.
+    opened, closed, answered = [], asyncio.Queue(), asyncio.Event()
+
+    async def answer(connection):
+        opened.append(connection.number)
+        if connection.number == 1:
+            await answered.wait()
+            connection.writer.write(DRAIN_LINE)
+            await send_lines_forever(connection.writer)
+        if connection.number == 3:
+            answered.set()
+        assert not await connection.reader.read()
+        closed.put_nowait(connection.number)
+
+    async with receiver_of(answer) as receiver:
+        await wait_until_told(receiver)
+        async with asyncio.timeout(2):
+            assert {await closed.get(), await closed.get()} == {2, 3}
+        await asyncio.sleep(3)  # as long as lines come, no further connection is opened
+        assert opened == [1, 2, 3]
+
+
+@async_test
+async def test_a_draining_switch_gets_no_set_ups_though_discovery_takes_3_s_to_answer():
+    # Review, case 3.
+    draining, other = Switch("s-1", 1), Switch("s-2", 2)
+    async with World(draining, other, discovery_delay_s=3.0) as world:
+        caller, loop = await world.caller(), asyncio.get_running_loop()
+        assert (await caller.next(caller.set_up(1)))["type"] == "answer"
+        world.channel.event(draining.entry("draining"))
+        await asyncio.sleep(TOLD_LIMIT_S + DRAIN_GRACE_S)
+        set_ups, last_at = draining.count("INVITE"), loop.time() + 1
+        while loop.time() < last_at:
+            await caller.next(caller.set_up(1))
+            await asyncio.sleep(0.05)
+        assert draining.count("INVITE") == set_ups
+        assert (await caller.next(caller.set_up(2)))["type"] == "answer"
--- a/tests/world.py
+++ b/tests/world.py
@@ -202,11 +202,13 @@
 class Channel:
     """A stand-in command channel: serves numbered switch-list events from the requested cursor on.
 
-    `events` holds all events sent so far, `resumed` the cursor of each connection.
+    `events` holds all events sent so far, `resumed` the cursor of each connection. The first line of a connection comes
+    answer_delay_s after the request.
     """
 
-    def __init__(self):
+    def __init__(self, answer_delay_s=0.0):
         self.events, self.resumed, self.writers = [], asyncio.Queue(), []
+        self.answer_delay_s = answer_delay_s
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
@@ -216,6 +218,7 @@
     async def serve(self, reader, writer):
         request, cursor = (await reader.readline()).split()
         assert request == b"resume"
+        await asyncio.sleep(self.answer_delay_s)
         for event in self.events[int(cursor) :]:
             writer.write(json.dumps(event).encode() + b"\n")
         self.writers.append(writer)
@@ -297,15 +300,18 @@
     """Context manager: a running gatekeeper process with the given stand-in switches, a command channel and a peer.
 
     operator: text of the operator's TOML file. limits: resource limits of the configuration file. proxied: place a
-    FaultProxy in front of each switch and of the command channel. Further keywords replace entries of the settings.
+    FaultProxy in front of each switch and of the command channel. discovery_delay_s: time from each request on the
+    command channel to its answer. Further keywords replace entries of the settings.
     On exit, the process must end with code 0, and no log line may contain "Traceback" or "failed:".
     """
 
-    def __init__(self, *switches, operator=None, limits=None, proxied=False, **changed):
+    def __init__(
+        self, *switches, operator=None, limits=None, proxied=False, discovery_delay_s=0.0, **changed
+    ):
         self.proxied, self.proxies, self.channel_proxy = proxied, [], None
         self.switches, self.operator, self.settings = [*switches], operator, settings(**changed)
         self.limits = limits or {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
-        self.channel, self.log_lines = Channel(), []
+        self.channel, self.log_lines = Channel(discovery_delay_s), []
 
     async def __aenter__(self):
         for switch in self.switches:
