Wait up to 4 s for the switch list when taking over from another process

Seen by callers: while discovery takes 5 s to answer, a process that replaces another one serves from 2.7 s after its start with the list of its configuration, and sends set-ups to a switch that was drained before it started.

Cause: CHANNEL_CATCH_UP_TIMEOUT_S = 2.5 s in __main__.py, wait_until_informed, rests on the same reading as the limit on silence: that a discovery which can be reached sends a line within 2.5 s of the request. The predecessor, which has the list, could have served on: the new process is due only 6 s after its start. Evidence: the log of the test has "the successor serves" 2.5 s after the request and "in service to draining" 2.5 s later, and the switch got 3, 5 and 10 set-ups in three runs.

Change: the limit is 4 s, which leaves 2 s for the start itself. A discovery that takes up to 6 s is heard before the list binds.

--- a/tansyspur/__main__.py
+++ b/tansyspur/__main__.py
@@ -43,7 +43,7 @@
 KILL_AFTER_DEADLINE_S = 0.7  # SIGKILL comes at least this long after the longest deadline of a class
 MAX_COUNTED_DEADLINE_S = 3.0  # the platform counts a longer deadline as this one
 MAX_COUNTED_DEADLINE_REPLACED_S = 5.0  # or as this one, if another process takes over the callers
-CHANNEL_CATCH_UP_TIMEOUT_S = 2.5  # the command channel sends a cursor each second
+CHANNEL_CATCH_UP_TIMEOUT_S = 4.0  # a new process must be ready within 6 s of its start
 FIRST_DIAL_TIMEOUT_S = 1.5  # an unreachable switch must not delay the gatekeeper's readiness for longer
 
 
--- a/tests/test_slow_discovery.py
+++ b/tests/test_slow_discovery.py
@@ -21,6 +21,8 @@
 
 TOLD_LIMIT_S = 7.0  # PROTOCOL, "Figures": told this long after discovery had it, whether it arrived or not
 DRAIN_GRACE_S = 0.25 + 0.05  # drain-grace-ns of the tests' settings, and the slack of PROTOCOL
+TOLD_AFTER_READY_S = 2.0  # LATER, "Replacing the process": binding from then on
+READY_LIMIT_S = 6.0  # LATER, "Replacing the process"
 NO_ANSWER_S = 600.0
 
 DRAIN = {
@@ -213,3 +215,25 @@
             await asyncio.sleep(0.05)
         assert draining.count("INVITE") == set_ups
         assert (await caller.next(caller.set_up(2)))["type"] == "answer"
+
+
+@async_test
+async def test_the_next_process_sends_nothing_to_a_drained_switch_though_discovery_takes_5_s_to_answer():
+    # The new process started to serve before it had the list, and earlier than it had to.
+    draining, other = Switch("s-1", 1), Switch("s-2", 2)
+    async with World(draining, other) as world:
+        loop = asyncio.get_running_loop()
+        world.channel.event(draining.entry("draining"))
+        await world.wait_for_log("in service to draining")
+        world.channel.answer_delay_s = 5.0
+        started_at = loop.time()
+        old = await world.start_successor()
+        ready_at = loop.time()
+        assert ready_at - started_at < READY_LIMIT_S
+        old.terminate()
+        await asyncio.sleep(max(0.0, ready_at + TOLD_AFTER_READY_S + DRAIN_GRACE_S - loop.time()))
+        caller = await world.caller()
+        for _ in range(10):
+            await caller.next(caller.set_up(1))
+        assert draining.count("INVITE") == 0
+        assert (await caller.next(caller.set_up(2)))["type"] == "answer"
