Give malformed test messages call ids that no stand-in caller counts up to

Cause: Caller.ids in tests/world.py counts up over all tests of a worker, and a malformed line of tests/test_program.py had the fixed id ...ac (172). When the correct caller came to the same id, the program rightly closed its connection. No check was changed.

--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -174,7 +174,7 @@
             assert await world.console("PAUSE") == "+OK paused\n"
         assert (await world.console("STATUS")).startswith("-ERR paused")
         readiness_check = await world.caller()
-        readiness_check.send("ping", "00000000000000f0", cause=0)
+        readiness_check.send("ping", "fffffffffffffff0", cause=0)
         assert (await readiness_check.next())["cause"] == 0
         # Open set-ups are still served, and so are those that arrive before their connection is closed.
         late = busy.set_up(1)
@@ -200,7 +200,7 @@
         await asyncio.sleep(0.2)
         assert (await world.console("RESUME")).startswith("+OK serving")
         readiness_check = await world.caller()
-        readiness_check.send("ping", "00000000000000f1", cause=0)
+        readiness_check.send("ping", "fffffffffffffff1", cause=0)
         pong = await readiness_check.next()
         assert (pong["type"], pong["cause"]) == ("pong", 1)
         back = await world.caller()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -279,7 +279,7 @@
         assert {(await caller.next())["id"] for _ in calls} == set(calls)
 
 
-def set_up_line(call_id="00000000000000ac", **fields):
+def set_up_line(call_id="ffffffffffffffac", **fields):
     fields = {"class": "lookup", "left": "900", "key": "0" * 16, "extras": "dest:1;width:1;via:-1", **fields}
     row = {"type": "setup", "id": call_id, "fields": fields, "sdp": "o=caller\r\n"}
     return json.dumps(row).encode() + b"\n"
@@ -287,14 +287,14 @@
 
 BAD_LINES = [
     b"\n", b"{\n", b"[]\n", b"5\n", b"\xff\xfe\n", b"[" * 5000 + b"\n", b'{"type":"setup","id":7}\n',
-    b'{"type":"nonsense","id":"00000000000000aa"}\n', b'{"type":"answer","id":"00000000000000aa"}\n',
+    b'{"type":"nonsense","id":"ffffffffffffffaa"}\n', b'{"type":"answer","id":"ffffffffffffffaa"}\n',
     set_up_line("a b"), set_up_line(""), set_up_line(**{"class": "x\r\nEvil: 1"}),
     set_up_line(**{"class": "lookup_x"}), set_up_line(left="NaN"), set_up_line(left="-5"),
     set_up_line(left=True), set_up_line(left="99999"), set_up_line(left="9" * 40), set_up_line(key=None),
     set_up_line(extras="x"), set_up_line(extras="dest:1.5;width:1"), set_up_line(extras="dest:1;width:400"),
     set_up_line(extras="dest:nan;width:1"), set_up_line(extras="dest:99;width:1"),
-    b'{"type":"setup","id":"00000000000000ad","fields":[]}\n', b"x" * 20_000 + b"\n", b"x" * 20_000,
-    b'{"type":"release","id":"00000000000000ae","cause":"?"}\n', b'{"type":"setup","id":"0000', b"",
+    b'{"type":"setup","id":"ffffffffffffffad","fields":[]}\n', b"x" * 20_000 + b"\n", b"x" * 20_000,
+    b'{"type":"release","id":"ffffffffffffffae","cause":"?"}\n', b'{"type":"setup","id":"0000', b"",
 ]  # fmt: skip
 
 
@@ -351,7 +351,7 @@
     async with World(switch) as world:
         holders = [await world.caller() for _ in range(5)]
         for holder in holders:
-            holder.send("ping", "00000000000000ff", cause=0)
+            holder.send("ping", "ffffffffffffffff", cause=0)
             await holder.next(message_type="pong")
         first, second = await world.caller(), await world.caller()
         calls = [first.set_up(1) for _ in range(2)]
@@ -382,7 +382,7 @@
         assert (await caller.next(call))["type"] == "release"
         caller.send("release", call, cause=16)
         assert (await caller.next(call))["type"] == "released"
-        caller.send("release", "00000000000000ab", cause=16)
+        caller.send("release", "ffffffffffffffab", cause=16)
         assert (await caller.next())["cause"] == 81
 
 
@@ -446,7 +446,7 @@
     switch = Switch("s-1", 1)
     async with World(switch) as world:
         caller = await world.caller()
-        switch.writers[0].write(ANSWER.replace(b"%s", b"00000000000000aa"))
+        switch.writers[0].write(ANSWER.replace(b"%s", b"ffffffffffffffaa"))
         call = caller.set_up(1)
         answer = await caller.next(call)
         switch.handle_setup("answer", call)
@@ -456,7 +456,7 @@
         switch.handle_setup("answer", call)
         assert await caller.no_message_within()
         assert switch.count("BYE") == 0 and len(switch.writers) == 1
-        assert "00000000000000aa" not in [call_id for _, _, call_id in switch.received_log]
+        assert "ffffffffffffffaa" not in [call_id for _, _, call_id in switch.received_log]
 
 
 @async_test
--- a/tests/world.py
+++ b/tests/world.py
@@ -433,7 +433,7 @@
                     )
                 with contextlib.suppress(OSError, ConnectionError):
                     caller = await self.caller()
-                    caller.send("ping", "00000000000000ff", cause=0)
+                    caller.send("ping", "ffffffffffffffff", cause=0)
                     if (await caller.next())["cause"] == 1:
                         caller.close()
                         return
