Keep the ports of a rig run's gatekeepers bound until its own sockets are open

Cause: fleetrun.free_port bound a UDP port, closed it and returned its number; PeerNetwork.open then binds 49 sockets with any free port on the same loopback address, and may be given one of the seven. That gatekeeper cannot bind its peers' address and ends with exit code 1, so the run ends during its start. Ruled out: ports of other tests (each run has a loopback address of its own) and TCP (bound shareable). Change: ReservedPorts holds all ports until the peers' sockets are open. The test of the interrupted run now shows the rig's output when it fails.

--- a/tansyspur/rig/fleetrun.py
+++ b/tansyspur/rig/fleetrun.py
@@ -26,6 +26,7 @@
 
 from tansyspur.planner.fleet import Fleet, Load
 from tansyspur.rig.fleet_model import FleetModel, holding_time, poisson_times
+from tansyspur.rig.reserved_ports import ReservedPorts
 from tansyspur.rig.results import (
     FORMAT,
     CallResult,
@@ -60,13 +61,6 @@
     return f"127.{64 + (number >> 16) % 64}.{number >> 8 & 255}.{max(1, number & 255)}"
 
 
-def free_port(host: str, socket_type: socket.SocketKind = socket.SOCK_STREAM) -> int:
-    """Return a port that is free on this host at the moment."""
-    with socket.socket(socket.AF_INET, socket_type) as probe:
-        probe.bind((host, 0))
-        return int(probe.getsockname()[1])
-
-
 def gatekeeper_settings(fleet: Fleet, load: Load, number: int) -> dict[str, Any]:
     """Return the settings object of the configuration file for the gatekeeper of one store switch."""
     rules = fleet.rules
@@ -243,11 +237,13 @@
     async def _start_all(self, folder: Path, scratch: Path) -> None:
         names = self.fleet.names
         host = run_host()
-        callers = {name: free_port(host) for name in names}
-        peers = {name: free_port(host, socket.SOCK_DGRAM) for name in names}
-        self.peer_network = PeerNetwork(host, peers, self.model.delay_s, self.messages)
-        if self.fleet.rules.fill_reports:
-            await self.peer_network.open()
+        with (
+            ReservedPorts(host, names, socket.SOCK_STREAM) as callers,
+            ReservedPorts(host, names, socket.SOCK_DGRAM) as peers,
+        ):
+            self.peer_network = PeerNetwork(host, peers, self.model.delay_s, self.messages)
+            if self.fleet.rules.fill_reports:
+                await self.peer_network.open()
         for number, name in enumerate(names):
             endpoints = []
             for other in names:
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -8,6 +8,7 @@
 import os
 import random
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -19,6 +20,7 @@
 from tansyspur.planner.fleet import StoreSwitch
 from tansyspur.rig import results
 from tansyspur.rig.fleet_model import OtherWork, Processor, TrunkGroup, poisson_times
+from tansyspur.rig.reserved_ports import ReservedPorts
 from tests.test_erlang import tool
 from tests.test_records import EXAMPLES
 from tests.world import ROOT, WAIT_TIMEOUT_S
@@ -83,6 +85,20 @@
     assert poisson_times((0.0, 1.0), (10.0, 10.0), random.Random(5))[0] > 10
 
 
+def test_no_other_socket_of_a_run_gets_the_port_of_a_gatekeeper():
+    # Such a gatekeeper could not bind its address, and ended during its start.
+    names = [f"casa-{number}" for number in range(50)]
+    for socket_type in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with ReservedPorts("127.0.0.1", names, socket_type) as ports:
+            assert sorted(ports) == sorted(names) and len(set(ports.values())) == len(names)
+            for port in ports.values():
+                with (
+                    socket.socket(socket.AF_INET, socket_type) as other,
+                    pytest.raises(OSError, match="in use"),
+                ):
+                    other.bind(("127.0.0.1", port))
+
+
 def test_a_run_offers_calls_violates_no_rule_and_its_result_can_be_read(tmp_path):
     completed = tool(
         "rig", "run", *FILES, "--seconds", "4", "--seed", "3", "--out", str(tmp_path), "--format", "json"
@@ -115,11 +131,13 @@
         [sys.executable, "-m", "tansyspur", "rig", "run", *FILES, "--out", str(tmp_path)],
         cwd=ROOT, stderr=subprocess.PIPE, stdout=subprocess.PIPE, text=True,
     )  # fmt: skip
+    progress = []
     for line in process.stderr:
+        progress.append(line)
         if " 2 of " in line:
             break
     children = {int(pid) for pid in children_of(process.pid)}
-    assert len(children) == 7
+    assert len(children) == 7, progress
     process.send_signal(signal.SIGINT)
     out, _ = process.communicate(timeout=WAIT_TIMEOUT_S)
     assert "interrupted" in out and json.loads((tmp_path / "summary.json").read_text())["interrupted"]
