Send a refusal that came due together with its call's deadline, not a failure

Cause: the decision module refuses a queued call at its last check before the deadline. On a busy machine that check and the deadline come due in the same turn of the event loop; the check puts the refusal into the call's queue, and then the time-out in Gatekeeper._next_order cancels the wait, and _abandon discards the queue. The caller got a failure without a time to come back, and the log said that there was no decision. Ruled out: a module that is late, as its last check is always before the deadline and runs first. Change: at the deadline a refusal, failure or leaving that is in the queue is used; a queued set-up is still reported as not sent.

--- a/tansyspur/core/gatekeeper.py
+++ b/tansyspur/core/gatekeeper.py
@@ -477,11 +477,27 @@
                     if isinstance(signal, CallerLeft):
                         break
         except TimeoutError:
-            self.log("warning", "guard", "call failed: no decision by its deadline", call=call.offer.wire_id)
-            signal = interface.Fail(call.call_id)
+            signal = self._final_order_at_deadline(call)
         self._abandon(call)
         return signal
 
+    def _final_order_at_deadline(self, call: Call) -> Order | CallerLeft:
+        """The refusal, failure or leaving that is in the queue already, else a failure; set-ups stay in the queue.
+
+        After a stall of the process the order and the deadline come due in the same turn of the event loop. Without
+        this, a call that was refused in time would fail, without a time for its caller's next try.
+        """
+        signals = []
+        while not call.signals.empty():
+            signals.append(call.signals.get_nowait())
+        for signal in signals:
+            if isinstance(signal, interface.Refuse | interface.Fail | CallerLeft):
+                return signal
+        for signal in signals:
+            call.signals.put_nowait(signal)
+        self.log("warning", "guard", "call failed: no decision by its deadline", call=call.offer.wire_id)
+        return interface.Fail(call.call_id)
+
     async def _run_attempt(
         self, call: Call, order: interface.SetUp
     ) -> tuple[ports.SwitchLeg | None, Answered | LegEnded | CallerLeft]:
