End a call on all sides after an internal error at any of its steps

Cause: SipLeg.send raised UnicodeEncodeError; the except in Gatekeeper._serve answered the caller and told neither the adapter nor the decision module, so Processor.outstanding kept the set-up and its age counted as the expected delay. Change: the description is refused where it is parsed, cause 100. _serve ends the call for the switch, the module, the caller and the records, each contained (core/error_boundary.py). A message that raises ends its call, not the connection; the task of a switch's connections goes on; a release that cannot be written is kept; IAX2 frames are retransmitted after an error in sending. The Call moved to core/call.py.

--- a/tansyspur/core/gatekeeper.py
+++ b/tansyspur/core/gatekeeper.py
@@ -8,14 +8,15 @@
 import asyncio
 import contextlib
 import itertools
-import traceback
 from collections.abc import Callable, Coroutine, Iterable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from typing import Any
 
 from tansyspur import interface
 from tansyspur.core import guard, ports
+from tansyspur.core.call import Call, Order
 from tansyspur.core.clock import Clock
+from tansyspur.core.error_boundary import format_trace, run_contained
 from tansyspur.core.metrics import Metrics, SetUpResult
 from tansyspur.core.ports import (
     Answered,
@@ -32,46 +33,19 @@
 DEADLINE_MARGIN_MS = 10  # the final answer is sent this long before the caller stops waiting
 # A busy group sends a newer report sooner than this. With 50 ms, the old report misled more calls than it helped.
 REPORT_RESTORE_DELAY_S = 1.0
+TIMER_RETRY_S = (
+    1.0  # a timer of the controller is repeated after an error; without it no queue would be served
+)
 SETTINGS_OVERLAP_S = 1.0  # callers may still use the former settings for this long after a change
 MAX_OPEN_CALLS = 20_000  # further calls are refused on arrival
 
 Log = Callable[..., None]
-Order = interface.SetUp | interface.Refuse | interface.Fail
 NEEDS_RELEASE = (interface.Outcome.TIMED_OUT, interface.Outcome.CUT, interface.Outcome.CANCELLED)
 PROCESSOR_CAUSES = (interface.Cause.PROCESSOR_FULL, interface.Cause.FAR_PROCESSOR_FULL)
 
 
-@dataclass(slots=True, eq=False)
-class Call:
-    """An open call, from its offer to its end."""
-
-    call_id: int  # used with the controller only; the caller's id is offer.wire_id
-    offer: Offer
-    caller: CallerLeg
-    expires_ns: int  # when the final answer is due
-    signals: asyncio.Queue[ports.Signal | Order] = field(default_factory=asyncio.Queue)
-    attempts: int = 0
-    next_attempt_ns: int = 0  # rule 5: no set-up before this, as the last attempt may still hold circuits
-    last_cause: interface.Cause | None = None
-    switch_id: int = -1  # of the last attempt
-    standing: bool = False  # answered, and not yet ended
-    offered_ns: int = 0
-    answered_ns: int = 0
-    attempt_started_ns: int = 0  # of the last attempt
-    task: asyncio.Task[None] | None = None
-
-    def caller_left(self, cause: int = ports.NORMAL_CLEARING) -> None:
-        """Called by the front when the caller gives up or hangs up."""
-        self.signals.put_nowait(CallerLeft(cause))
-
-    def stop(self) -> None:
-        """Release the standing call on both sides, because the gatekeeper is stopping."""
-        self.signals.put_nowait(CallerLeft(ports.TEMPORARY_FAILURE, reason=EndReason.STOPPED))
-
-    def fail(self) -> None:
-        """Send the caller a failure, and end the call."""
-        self.caller.fail(ports.TEMPORARY_FAILURE)
-        self.signals.put_nowait(CallerLeft(ports.TEMPORARY_FAILURE, failed=True))
+class InternalCallError(Exception):
+    """A step of a call failed by an internal error, which has been logged where it was raised."""
 
 
 class Gatekeeper:
@@ -328,7 +302,12 @@
     def _on_group_report(self, switch_id: int, report: interface.LoadReport) -> None:
         if switch_id in self.switch_names:
             self.group_reports[switch_id] = report
-        self.consult(interface.GroupReport(switch_id, interface.Outcome.ENDED, 0, report))
+        if not self._inform(interface.GroupReport(switch_id, interface.Outcome.ENDED, 0, report)):
+            self._restore_later(switch_id, report)
+
+    def _restore_later(self, switch_id: int, report: interface.LoadReport | None) -> None:
+        loop = asyncio.get_running_loop()
+        loop.call_later(REPORT_RESTORE_DELAY_S, self._restore_group_report, switch_id, report)
 
     def _restore_group_report(self, switch_id: int, report: interface.LoadReport | None) -> None:
         """Apply the report again if no newer one has come.
@@ -350,14 +329,25 @@
         }
 
     def peer_message(self, sender: int, data: bytes) -> None:
-        self.consult(interface.PeerMessage(sender, data))
+        self._inform(interface.PeerMessage(sender, data))
 
     # Events to the controller, and its actions
 
     def consult(self, event: interface.Event) -> None:
-        """Pass an event to the controller, and carry out the actions that it returns."""
+        """Pass an event to the controller, and carry out the actions that it returns.
+
+        An error in one action is logged, as the other actions may belong to other calls.
+        """
         for action in self.controller.handle(self.clock.now_ns(), event):
-            self._apply(action)
+            run_contained(self.log, "module", self._apply, action)
+
+    def _inform(self, event: interface.Event) -> bool:
+        """Pass on an event that is no step of a call. An error is logged; returns whether there was none."""
+        return run_contained(self.log, "module", self.consult, event)
+
+    def _on_timer(self, token: int) -> None:
+        if not self._inform(interface.TimerDue(token)):
+            asyncio.get_running_loop().call_later(TIMER_RETRY_S, self._on_timer, token)
 
     def _apply(self, action: interface.Action) -> None:
         match action:
@@ -369,7 +359,7 @@
                     call.signals.put_nowait(action)
             case interface.SetTimer(token, at_ns):
                 loop = asyncio.get_running_loop()
-                loop.call_at(self.clock.loop_time(at_ns), self.consult, interface.TimerDue(token))
+                loop.call_at(self.clock.loop_time(at_ns), self._on_timer, token)
             case interface.SendMessage(peer, data):
                 if self.messenger:
                     self.messenger.send(peer, data)
@@ -393,7 +383,7 @@
         requested_ns, switch = self.clock.now_ns(), self.switches.get(switch_id)
 
         def on_result(outcome: interface.Outcome, report: interface.LoadReport | None) -> None:
-            self.consult(
+            self._inform(
                 interface.GroupReport(switch_id, outcome, self.clock.now_ns() - requested_ns, report)
             )
 
@@ -409,18 +399,50 @@
                 call.standing = True
                 await self._serve_standing(call, leg)
         except Exception:
-            # Rule 1: each caller gets one final answer, also after an internal error. The task logs the error.
-            end = call.caller.release if call.standing else call.caller.fail
-            end(ports.TEMPORARY_FAILURE)
-            if call.standing:
-                self.metrics.call_ends[EndReason.INTERNAL] += 1
-            else:
-                self.metrics.count_setup_result(SetUpResult.FAILURE, call.offer.class_name)
-            self._record_completed(call, "cut" if call.standing else "failed")
-            raise
+            self._end_after_error(call)
+            raise  # the task logs the error
         finally:
             self.calls.pop(call.call_id, None)
 
+    def _end_after_error(self, call: Call) -> None:
+        """End the call on all sides after an internal error in any of its steps.
+
+        The switch must not keep an attempt or a call without a caller, the controller must not count an attempt as
+        outstanding for ever, and by rule 1 each caller gets one final answer.
+        """
+        for step in (self._end_leg, self._report_error, self._answer_after_error, self._count_error):
+            run_contained(self.log, "call", step, call, call=call.offer.wire_id)
+
+    def _end_leg(self, call: Call) -> None:
+        if call.leg and call.answered_ns:
+            call.leg.release(ports.TEMPORARY_FAILURE)
+        elif call.leg and call.attempt_open:
+            call.leg.cancel()
+            self._release_queued_answer(call, call.leg)
+
+    def _report_error(self, call: Call) -> None:
+        if not call.answered_ns:
+            self._abandon(call)
+        if call.attempt_open:
+            outcome = interface.Outcome.CUT if call.leg else interface.Outcome.NOT_SENT
+            self._report_attempt_end(call, LegEnded(outcome, reason=EndReason.INTERNAL), final=True)
+
+    def _answer_after_error(self, call: Call) -> None:
+        end = call.caller.release if call.answered_ns else call.caller.fail
+        end(ports.TEMPORARY_FAILURE)
+
+    def _count_error(self, call: Call) -> None:
+        if call.answered_ns and not call.recorded:
+            self.metrics.call_ends[EndReason.INTERNAL] += 1
+        self._count_result(call, SetUpResult.FAILURE)
+        self._record_completed(call, "cut" if call.answered_ns else "failed")
+
+    def _count_result(self, call: Call, result: SetUpResult) -> None:
+        """Count the final answer to the call, once."""
+        if call.result is None:
+            call.result = result
+            self.metrics.count_setup_result(result, call.offer.class_name)
+
     async def _set_up(self, call: Call) -> ports.SwitchLeg | None:
         """Try to connect the call, over as many attempts as the controller orders.
 
@@ -438,6 +460,9 @@
                 self._send_final_answer(call, order)
                 return None
             leg, result = await self._run_attempt(call, order)
+            if isinstance(result, LegEnded) and result.reason is EndReason.INTERNAL:
+                self._report_attempt_end(call, result, final=True)
+                raise InternalCallError("an error in the adapter of the switch")
             elapsed_ns = self.clock.now_ns() - call.attempt_started_ns
             if isinstance(result, Answered):
                 assert leg is not None  # an answer comes from a leg
@@ -446,8 +471,8 @@
                 )
                 self.consult(answered)
                 if call.caller.answer(result.description):
-                    self.metrics.count_setup_result(SetUpResult.SUCCESS, call.offer.class_name)
                     call.answered_ns = self.clock.now_ns()
+                    self._count_result(call, SetUpResult.SUCCESS)
                     self._log_call(call, "stands", elapsed_ns)
                     return leg
                 # The caller left just as the answer came. Without this, the call would stay standing at the switch.
@@ -507,6 +532,7 @@
         """
         decided_ns = call.attempt_started_ns = self.clock.now_ns()
         call.attempts, call.switch_id = call.attempts + 1, order.switch_id
+        call.leg, call.attempt_open = None, True
         name = self.switch_names.get(order.switch_id, "")
         decided_listing, switch = self.listings.get(name), self.switches.get(order.switch_id)
         until_ns = call.expires_ns
@@ -527,6 +553,7 @@
         timeout_ms = max(1, (until_ns - decided_ns) // 1_000_000)
         request = ports.SetUpRequest(call.offer, call.attempts - 1, timeout_ms)
         leg = switch.start_attempt(request, may_send, self.metrics.attempt_written, call.signals.put_nowait)
+        call.leg = leg
         result: Answered | LegEnded | CallerLeft = LegEnded(interface.Outcome.TIMED_OUT)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout_at(self.clock.loop_time(until_ns)):
@@ -606,10 +633,7 @@
         # report comes, the last one was right and is applied again.
         no_circuit = ended.outcome is interface.Outcome.NOT_SENT and ended.cause is interface.Cause.NO_CIRCUIT
         if no_circuit and report and report.free is not None and report.free >= call.offer.circuits:
-            last = self.group_reports.get(call.switch_id)
-            asyncio.get_running_loop().call_later(
-                REPORT_RESTORE_DELAY_S, self._restore_group_report, call.switch_id, last
-            )
+            self._restore_later(call.switch_id, self.group_reports.get(call.switch_id))
             report = replace(report, free=0.0)
         elapsed_ns = self.clock.now_ns() - call.attempt_started_ns
         self.consult(
@@ -618,6 +642,7 @@
                 cause=ended.cause, report=report,
             )
         )  # fmt: skip
+        call.attempt_open = False
 
     def _abandon(self, call: Call) -> None:
         """Report that the call needs no more orders. A set-up already ordered is reported as not sent."""
@@ -636,17 +661,18 @@
                 processor_full = call.last_cause in PROCESSOR_CAUSES
                 cause = ports.CONGESTION if processor_full else ports.NO_CIRCUIT
                 call.caller.refuse(cause, retry_after_ns // 1_000_000)
-                self.metrics.count_setup_result(SetUpResult.BUSY, call.offer.class_name)
+                self._count_result(call, SetUpResult.BUSY)
                 self._log_call(call, "refused")
                 self._record_completed(call, "refused")
             case interface.Fail():
                 call.caller.fail(ports.TEMPORARY_FAILURE)
-                self.metrics.count_setup_result(SetUpResult.FAILURE, call.offer.class_name)
+                self._count_result(call, SetUpResult.FAILURE)
                 self._log_call(call, "failed")
                 self._record_completed(call, "failed")
             case CallerLeft(failed=failed):
                 if failed:
-                    self.metrics.count_setup_result(SetUpResult.FAILURE, call.offer.class_name)
+                    call.caller.fail(ports.TEMPORARY_FAILURE)  # sends nothing if the front has sent it
+                    self._count_result(call, SetUpResult.FAILURE)
                 verdict = "failed" if failed else "given up"
                 self._log_call(call, verdict, elapsed_ns)
                 self._record_completed(call, verdict)
@@ -668,7 +694,8 @@
 
     def _record_completed(self, call: Call, verdict: str) -> None:
         """Pass the ended call to the recorder. Done exactly once for each call, as the records must be complete."""
-        if self.recorder:
+        if self.recorder and not call.recorded:
+            call.recorded = True
             name = self.switch_names.get(call.switch_id, "")
             listing = self.listings.get(name)
             self.recorder(
@@ -723,9 +750,3 @@
     def close(self) -> None:
         for switch in self.switches.values():
             switch.close()
-
-
-def format_trace(error: BaseException) -> str:
-    """The three innermost frames of the traceback, innermost first, on one line."""
-    frames = traceback.extract_tb(error.__traceback__)[-3:]
-    return " < ".join(f"{frame.name}:{frame.lineno}" for frame in reversed(frames))
--- a/tansyspur/iax2/back.py
+++ b/tansyspur/iax2/back.py
@@ -9,8 +9,10 @@
 from collections.abc import Callable
 
 from tansyspur import interface
+from tansyspur.core.error_boundary import log_error, run_contained
 from tansyspur.core.ports import (
     NORMAL_CLEARING,
+    TEMPORARY_FAILURE,
     TIMER_EXPIRED,
     Answered,
     EndReason,
@@ -66,7 +68,6 @@
 
         For a caller by IAX2 it offers the caller's format only, since media is forwarded without transcoding.
         """
-        self.leg = leg
         caller = next(iter(self.switch.bridge.legs.get(self.wire_id, ())), None)
         self.switch.bridge.add_leg(self.wire_id, leg)
         formats = sum(FORMATS.values())
@@ -153,9 +154,18 @@
         self.release(NORMAL_CLEARING)
 
     def release(self, cause: int) -> None:
-        if not self.ended and self.leg:
-            self.leg.finish(Iax.HANGUP, (IE.CAUSE, causes.cause_text(cause)), (IE.CAUSECODE, bytes([cause])))
+        leg = None if self.ended else self.leg
         self.end(None)
+        if leg:
+            leg.finish(Iax.HANGUP, (IE.CAUSE, causes.cause_text(cause)), (IE.CAUSECODE, bytes([cause])))
+
+    def fail_internal(self, error: Exception) -> None:
+        """End the attempt on both sides after an internal error."""
+        self.switch.log_error(error, self.wire_id)
+        if self.leg:
+            code = (IE.CAUSECODE, bytes([TEMPORARY_FAILURE]))
+            run_contained(self.switch.log, "iax2", self.leg.finish, Iax.HANGUP, code, call=self.wire_id)
+        self.end(LegEnded(interface.Outcome.CUT, reason=EndReason.INTERNAL))
 
 
 class Iax2Switch:
@@ -226,11 +236,18 @@
             if leg is None:
                 attempt.end(LegEnded(interface.Outcome.NOT_SENT))
             else:
-                attempt.start(leg)
-                on_written()
-                self._report()
+                attempt.leg = leg
+                try:
+                    attempt.start(leg)
+                    on_written()
+                    self._report()
+                except Exception as error:  # noqa: BLE001 - any of them must end as one failed call
+                    attempt.fail_internal(error)
         return attempt
 
+    def log_error(self, error: Exception, wire_id: str) -> None:
+        log_error(self.log, "iax2", error, switch=self.name, call=wire_id)
+
     def probe(self, notify: Callable[[interface.Outcome, interface.LoadReport | None], None]) -> None:
         """Report the state of the trunk group at once: IAX2 has no message that requests the load of a switch."""
         free = self.circuits - len(self.attempts) if self.circuits else None
--- a/tansyspur/iax2/front.py
+++ b/tansyspur/iax2/front.py
@@ -9,7 +9,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from tansyspur.core.gatekeeper import Call, Gatekeeper
+from tansyspur.core.call import Call
+from tansyspur.core.gatekeeper import Gatekeeper
 from tansyspur.core.ports import CONGESTION, NORMAL_CLEARING, TIMER_EXPIRED, Offer
 from tansyspur.iax2 import causes
 from tansyspur.iax2.auth import (
@@ -97,6 +98,7 @@
             return reject_new_leg(leg, frame, elements)
         else:
             user = Caller(self, leg)
+        leg.user = user  # is told if the leg fails below
         user.on_frame(leg, frame, elements)
         return None if leg.closed else user
 
--- a/tansyspur/iax2/transport.py
+++ b/tansyspur/iax2/transport.py
@@ -10,7 +10,9 @@
 from collections.abc import Callable
 from typing import Protocol, cast
 
+from tansyspur.core.error_boundary import log_error, run_contained
 from tansyspur.core.lease import LATE_TIMER_S, LEASE_S
+from tansyspur.core.ports import TEMPORARY_FAILURE
 from tansyspur.iax2.frames import (
     IE,
     MAX_CALL_NUMBER,
@@ -93,8 +95,8 @@
         )
         self.unacked[self.oseqno], self.retries[self.oseqno] = frame, 0
         self.oseqno = (self.oseqno + 1) % 256
+        self._start_retry_timer(frame.oseqno, FIRST_RETRY_DELAY_S)  # first: an error below must not stop it
         self.endpoint.send(frame.encode(), self.address)
-        self._start_retry_timer(frame.oseqno, FIRST_RETRY_DELAY_S)
 
     def send_iax(self, subclass: Iax, *elements: tuple[int, bytes | str | int]) -> None:
         """Send an IAX control frame with these information elements, reliably."""
@@ -108,8 +110,8 @@
         if self.retries[oseqno] >= MAX_RETRIES:
             return self.give_up("frame not acknowledged after the last retransmission")
         self.retries[oseqno] += 1
-        self._retransmit(frame)
         self._start_retry_timer(oseqno, min(MAX_RETRY_DELAY_S, delay_s * 2))
+        self._retransmit(frame)
 
     def _retransmit(self, frame: FullFrame) -> None:
         """Send the frame again with the R bit set; the remote call number may have been learned since."""
@@ -141,11 +143,13 @@
             # This timer ran late, so the program itself was paused. Without this delay, its pause would count as
             # silence of the remote side: the datagrams that arrived meanwhile are read first.
             expires_at = now + LATE_TIMER_S
-        if now >= self.next_ping_at:
-            self.send_iax(Iax.PING)
+        ping_is_due = now >= self.next_ping_at
+        if ping_is_due:
             self.next_ping_at = now + PING_INTERVAL_S
         self.keep_alive_due_at = min(self.next_ping_at, expires_at)
         self.ping_timer = self.loop.call_at(self.keep_alive_due_at, self.keep_alive)
+        if ping_is_due:
+            self.send_iax(Iax.PING)
 
     # Receiving
 
@@ -167,14 +171,22 @@
             return
         distance = (frame.oseqno - self.iseqno) % 256
         if distance >= 128:  # received before; the ACK for it was lost
-            return self.send_unsequenced(Iax.ACK, frame.timestamp)
+            return self.acknowledge(frame)
         if distance:  # an earlier frame was lost
             return self.send_unsequenced(Iax.VNAK, frame.timestamp)
         self.iseqno = (self.iseqno + 1) % 256
-        self.send_unsequenced(Iax.ACK, frame.timestamp)
+        self.acknowledge(frame)
         if self.closing or self.closed:
             return
-        self._deliver(frame)
+        try:
+            self._deliver(frame)
+        except Exception as error:  # noqa: BLE001 - the frame is acknowledged, so it does not come again
+            log_error(self.endpoint.log, "iax2", error, peer=self.address[0])
+            self.fail("internal error")
+
+    def acknowledge(self, frame: FullFrame) -> None:
+        """Send an ACK. One that cannot be sent is repaired by the next retransmission of the frame."""
+        run_contained(self.endpoint.log, "iax2", self.send_unsequenced, Iax.ACK, frame.timestamp)
 
     def _deliver(self, frame: FullFrame) -> None:
         if frame.is_iax(Iax.PING, Iax.POKE):
@@ -214,8 +226,19 @@
                 # the final one are still retransmitted: without them it would be out of order at the remote side.
                 self.timers.pop(0).cancel()
                 del self.unacked[0], self.retries[0]
-            self.send_iax(subclass, *elements)
-            self.closing = True
+            data = encode_elements(elements)
+            try:
+                self.send(FrameType.IAX, subclass, data)
+            finally:
+                self.closing = True  # also after an error: the frame is retransmitted
+
+    def fail(self, reason: str) -> None:
+        """End the leg on both sides after an internal error."""
+        notified_user = self.user if not self.closing and not self.closed else None
+        code = (IE.CAUSECODE, bytes([TEMPORARY_FAILURE]))
+        run_contained(self.endpoint.log, "iax2", self.finish, Iax.HANGUP, code, peer=self.address[0])
+        if notified_user:
+            notified_user.on_lost(self, reason)
 
     def give_up(self, reason: str) -> None:
         """Close the leg as failed. The user is notified unless the final frame had been sent."""
@@ -302,7 +325,7 @@
         except FrameError as error:
             self.log("warning", "iax2", f"malformed datagram dropped: {error}", peer=addr[0])
         except Exception as error:  # noqa: BLE001 - one bad datagram must not stop the endpoint
-            self.log("error", "iax2", f"datagram dropped after an internal error: {error!r}", peer=addr[0])
+            log_error(self.log, "iax2", error, peer=addr[0])
 
     def _receive_full(self, frame: FullFrame, addr: Address) -> None:
         if frame.destination:
@@ -352,8 +375,12 @@
         leg.remote, leg.opening_data = frame.source, bytes(frame.data)
         self.legs_by_remote[addr, frame.source] = leg
         leg.iseqno = (frame.oseqno + 1) % 256
-        leg.send_unsequenced(Iax.ACK, frame.timestamp)
-        leg.user = self.on_new(leg, frame, elements)
+        leg.acknowledge(frame)
+        try:
+            leg.user = self.on_new(leg, frame, elements)
+        except Exception as error:  # noqa: BLE001 - without this, the leg would stay open for ever
+            log_error(self.log, "iax2", error, peer=addr[0])
+            leg.fail("internal error")
 
     def _send_inval(self, frame: FullFrame, addr: Address) -> None:
         inval = FullFrame(
--- a/tansyspur/net/jsonlines.py
+++ b/tansyspur/net/jsonlines.py
@@ -5,15 +5,19 @@
 """
 
 import asyncio
+import contextlib
 import json
 import math
 import re
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
-from tansyspur.core.gatekeeper import Call, Gatekeeper
+from tansyspur.core.call import Call
+from tansyspur.core.error_boundary import log_error, run_contained
+from tansyspur.core.gatekeeper import Gatekeeper
 from tansyspur.core.metrics import Delivery, SetUpResult
 from tansyspur.core.ports import INVALID_ELEMENT, NORMAL_CLEARING, TEMPORARY_FAILURE, Offer
 from tansyspur.net.framing import Chunks, FramingError
@@ -73,6 +77,17 @@
     return value
 
 
+def _parse_description(value: Any) -> str:
+    if not isinstance(value, str):
+        raise InvalidSetUp("sdp")
+    try:
+        # Bytes that are not UTF-8 pass through as lone surrogates; any other surrogate stands for no bytes at all.
+        value.encode("utf-8", "surrogateescape")
+    except UnicodeEncodeError:
+        raise InvalidSetUp("sdp") from None
+    return value
+
+
 def parse_offer(row: dict[str, Any]) -> Offer:
     """Convert a set-up message to an offer. Raises InvalidSetUp."""
     fields = row.get("fields")
@@ -83,16 +98,13 @@
         name, _, value = pair.partition(":")
         extras[name.strip()] = value.strip()
     via = _parse_integer(extras.get("via", -1), "via")
-    sdp = row.get("sdp")
-    if not isinstance(sdp, str):
-        raise InvalidSetUp("sdp")
     return Offer(
         wire_id=row["id"],
         class_name=_parse_text(fields.get("class"), "class", CLASS_NAME),
         remaining_ms=_parse_number(fields.get("left"), "left"),
         destination=_parse_integer(extras.get("dest"), "dest"),
         called_number=_parse_text(fields.get("key"), "key", TOKEN),
-        description=sdp,
+        description=_parse_description(row.get("sdp")),
         circuits=_parse_number(extras.get("width", 1), "width"),
         via=via if via >= 0 else None,
         in_transit=extras.get("transit", "0") not in ("0", ""),
@@ -101,6 +113,12 @@
     )
 
 
+def _release_cause(row: dict[str, Any]) -> int:
+    """The cause of a caller's release, of Q.850; that of normal clearing if it has no valid one."""
+    cause = row.get("cause")
+    return cause if isinstance(cause, int) and 0 < cause < 128 else NORMAL_CLEARING
+
+
 class JsonLeg:
     """The caller's side of one call; implements core.ports.CallerLeg."""
 
@@ -129,14 +147,16 @@
         self._send_final(format_line("release", self.wire_id, cause=cause))
 
     def _send_final(self, message: bytes) -> None:
-        if self.front.forget(self):
+        # Forgotten once it is written, so that the answer can be sent again after an error.
+        if self.front.legs.get(self.wire_id) is self:
             self.link.write(message)
+            self.front.forget(self)
 
     def release(self, cause: int) -> None:
-        if self.front.forget(self):
-            self.front.release_anywhere(
-                self.wire_id, self.link, format_line("release", self.wire_id, cause=cause)
-            )
+        if self.front.legs.get(self.wire_id) is self:
+            message = format_line("release", self.wire_id, cause=cause)
+            self.front.release_anywhere(self.wire_id, self.link, message)
+            self.front.forget(self)
 
 
 def format_line(
@@ -353,7 +373,10 @@
         self.gatekeeper.metrics.deliveries[delivery] += 1
         level = "debug" if delivery is Delivery.WRITTEN else "info"
         number = link.number if link else ""
-        self.log(level, "release", delivery.value, call=wire_id, link=number, late_ms=int(late_s * 1000))
+        with contextlib.suppress(
+            Exception
+        ):  # the release is written: an error here must not end the call again
+            self.log(level, "release", delivery.value, call=wire_id, link=number, late_ms=int(late_s * 1000))
 
     def _cancel_delivery_timer(self, link: Link) -> None:
         if timer := self.delivery_timers.pop(link, None):
@@ -446,7 +469,8 @@
         self.log("warning", "front", f"connection dropped: {reason}")
         open_legs = [leg for leg in self.legs.values() if leg.link is link and not leg.standing]
         for leg in open_legs:
-            leg.call.fail() if leg.call else leg.fail(TEMPORARY_FAILURE)
+            fail = leg.call.fail if leg.call else partial(leg.fail, TEMPORARY_FAILURE)
+            run_contained(self.log, "front", fail, call=leg.wire_id)
         return bool(open_legs)
 
     def _close_least_useful_link(self) -> bool:
@@ -487,12 +511,40 @@
             del self.ended_ids[next(iter(self.ended_ids))]
 
     def _on_message(self, link: Link, raw_line: memoryview) -> None:
+        """Handle one line. An internal error ends the call that the line belongs to, and not the connection.
+
+        Raises FramingError if the connection is unusable.
+        """
         try:
             row = json.loads(str(raw_line, "utf-8"))
         except (ValueError, RecursionError):
             raise FramingError("a line that is not JSON") from None
         if not isinstance(row, dict) or not isinstance(row.get("id"), str) or not TOKEN.fullmatch(row["id"]):
             raise FramingError("message without a valid id")
+        try:
+            self._dispatch(link, row)
+        except FramingError:
+            raise
+        except Exception as error:  # noqa: BLE001 - any of them must end as one failed call
+            log_error(self.log, "front", error, call=row["id"], type=str(row.get("type")))
+            run_contained(self.log, "front", self._end_after_error, link, row, call=row["id"])
+
+    def _end_after_error(self, link: Link, row: dict[str, Any]) -> None:
+        """End the call of a message that could not be handled: its caller gets the answer that is due."""
+        wire_id = row["id"]
+        leg = self.legs.get(wire_id)
+        if leg and row.get("type") == "release":
+            self._on_caller_left(leg, _release_cause(row))
+        elif leg and leg.call:
+            leg.call.fail()
+        elif row.get("type") == "setup":
+            self.legs.pop(wire_id, None)
+            self._remember_ended(wire_id)
+            link.write(format_line("release", wire_id, cause=TEMPORARY_FAILURE))
+        elif row.get("type") == "release":
+            link.write(format_line("released", wire_id))
+
+    def _dispatch(self, link: Link, row: dict[str, Any]) -> None:
         message_type, wire_id = row.get("type"), row["id"]
         if message_type == "setup":
             self._on_set_up(link, row)
@@ -550,10 +602,9 @@
                 else format_line("release", row["id"], cause=INVALID_REFERENCE)
             )
             return link.write(reply)
-        cause = row.get("cause")
         self.caller_links.add(link)
         link.write(format_line("released", leg.wire_id))
-        self._on_caller_left(leg, cause if isinstance(cause, int) and 0 < cause < 128 else NORMAL_CLEARING)
+        self._on_caller_left(leg, _release_cause(row))
 
     def _on_caller_left(self, leg: JsonLeg, cause: int) -> None:
         if not leg.standing:
--- a/tansyspur/net/sip.py
+++ b/tansyspur/net/sip.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import itertools
 import math
 import re
@@ -12,9 +13,18 @@
 from collections.abc import Callable
 
 from tansyspur import interface
+from tansyspur.core.error_boundary import log_error, run_contained
 from tansyspur.core.lease import LATE_TIMER_S, StandingLeases
 from tansyspur.core.metrics import Metrics
-from tansyspur.core.ports import NORMAL_CLEARING, Answered, EndReason, LegEnded, SetUpRequest, SwitchSignal
+from tansyspur.core.ports import (
+    NORMAL_CLEARING,
+    TEMPORARY_FAILURE,
+    Answered,
+    EndReason,
+    LegEnded,
+    SetUpRequest,
+    SwitchSignal,
+)
 from tansyspur.net.framing import Chunks, FramingError
 from tansyspur.net.link import Link
 from tansyspur.net.releases import PendingReleases
@@ -41,6 +51,7 @@
 SUSPECT_AFTER_S, PING_TIMEOUT_S = 0.1, 0.25
 CHECK_INTERVAL_S = 0.05
 FIRST_RECONNECT_S, MAX_RECONNECT_STANDING_S, MAX_RECONNECT_S = 0.1, 0.4, 2.0
+RELEASE_RETRY_S = 0.2  # after an error while releases were written
 NEW_CONNECTION_INTERVAL_S = 4.0  # between connections opened for releases that may have been lost
 CAUSE_BY_NAME = {
     "all_trunks_busy": interface.Cause.NO_CIRCUIT,
@@ -96,7 +107,27 @@
             self._notify(signal)
 
     def send(self, link: Link) -> None:
-        """Write the set-up, unless the leg has ended or may_send withdraws it (NOT_SENT)."""
+        """Write the set-up, unless the leg has ended or may_send withdraws it (NOT_SENT).
+
+        An error ends the leg: other set-ups may wait for the same connection.
+        """
+        try:
+            self._send(link)
+        except Exception as error:  # noqa: BLE001 - any of them must end as one failed call
+            log_error(self.switch.log, "sip", error, call=self.call_id, switch=self.switch.name)
+            self.fail_internal()
+
+    def fail_internal(self) -> None:
+        """End the leg after an internal error. What was sent of it is released at the switch."""
+        self.switch.forget(self)
+        if self.link:
+            run_contained(
+                self.switch.log, "sip", self.switch.send_bye, self.call_id, TEMPORARY_FAILURE, self.link
+            )
+        outcome = interface.Outcome.CUT if self.link else interface.Outcome.NOT_SENT
+        self.notify(LegEnded(outcome, reason=EndReason.INTERNAL))
+
+    def _send(self, link: Link) -> None:
         if self.dial_timer:
             self.dial_timer.cancel()
         if self.ended:
@@ -106,10 +137,10 @@
             return self.notify(LegEnded(interface.Outcome.NOT_SENT, reason=EndReason.HELD_BACK))
         offer = self.request.offer
         wait_ms = max(1, int((self.expires_at - self.switch.loop.time()) * 1000))
-        self.link, self.sent_at, self.sent_ns = link, self.switch.loop.time(), time.time_ns()
         body = offer.description.encode("utf-8", "surrogateescape")
         headers = (f"X-Service: {offer.class_name}", f"X-Setup-Ms: {wait_ms}")
         invite = format_request("INVITE", offer.called_number, self.call_id, INVITE_CSEQ, *headers, body=body)
+        self.link, self.sent_at, self.sent_ns = link, self.switch.loop.time(), time.time_ns()
         link.write(invite, self.on_written)
 
     def fail_no_route(self) -> None:
@@ -133,16 +164,17 @@
             )
             self.link.abort()
         elif self.link:
-            self.link.write(
-                format_request("CANCEL", self.request.offer.called_number, self.call_id, INVITE_CSEQ)
-            )
             self.switch.remember_cancelled(self.call_id)
+            cancel = format_request("CANCEL", self.request.offer.called_number, self.call_id, INVITE_CSEQ)
+            if not run_contained(self.switch.log, "sip", self.link.write, cancel, call=self.call_id):
+                # Unlike the CANCEL, a release is sent again until it is delivered.
+                self.switch.send_bye(self.call_id, NORMAL_CLEARING, self.link)
 
     def release(self, cause: int) -> None:
         if not self.ended:
+            self.switch.send_bye(self.call_id, cause, self.link)  # first: after an error it is released again
             self.ended = True
             self.switch.forget(self)
-            self.switch.send_bye(self.call_id, cause, self.link)
 
 
 class SipSwitch:
@@ -187,9 +219,9 @@
         self.retired = False
         self.was_reachable = False  # at the last check
         self.lost_at: float | None = None  # when the last connection was lost; None before the first one
+        self.reconnect_s, self.next_connection_at = FIRST_RECONNECT_S, -math.inf
         self.wake_event = asyncio.Event()
         self.connection_task = self.loop.create_task(self._maintain_connections(), name=f"switch {name}")
-        self.connection_task.add_done_callback(self._connection_task_done)
         self.tasks: set[asyncio.Task[None]] = set()
         self.leases = StandingLeases()
         self.lease_timer: asyncio.TimerHandle | None = None
@@ -417,31 +449,37 @@
 
     async def _maintain_connections(self) -> None:
         """Keep at least one usable connection: the switch reports the state of its trunk group over it."""
-        reconnect_s, next_new_connection_at = FIRST_RECONNECT_S, -math.inf
         while not self.retired:
             self.wake_event.clear()
-            self._check_links()
-            self._report_reachability()
             wait_s = CHECK_INTERVAL_S
-            urgent = self._usable_link() is None or bool(self.waiting_legs)
-            if urgent or (self._needs_new_connection() and self.loop.time() >= next_new_connection_at):
-                connected = await self._dial()
-                reconnect_s = (
-                    FIRST_RECONNECT_S if connected else min(self._max_reconnect_s(), reconnect_s * 2)
-                )
-                self.first_dial_done.set()
-                next_new_connection_at = self.loop.time() + reconnect_s
-                # The connections in use must be checked at the usual interval in the meantime.
-                wait_s = reconnect_s if urgent else CHECK_INTERVAL_S
             try:
+                self._check_links()
+                self._report_reachability()
+                wait_s = await self._connect_if_needed()
+            except Exception as error:  # noqa: BLE001 - without this, the switch would never be dialled again
+                log_error(self.log, "sip", error, switch=self.name)
+            with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(wait_s):
                     await self.wake_event.wait()
-            except TimeoutError:
-                pass
 
-    def _connection_task_done(self, task: asyncio.Task[None]) -> None:
-        if not task.cancelled() and (error := task.exception()):
-            self.log("error", "sip", f"connection task failed: {error!r}", switch=self.name)
+    async def _connect_if_needed(self) -> float:
+        """Open a connection if none is usable, or if a release may have been lost. Returns the delay to the next check.
+
+        Seconds. The delay is that to the next connection attempt where none is usable.
+        """
+        urgent = self._usable_link() is None or bool(self.waiting_legs)
+        if not urgent and not (self._needs_new_connection() and self.loop.time() >= self.next_connection_at):
+            return CHECK_INTERVAL_S
+        connected = False
+        try:
+            connected = await self._dial()
+        finally:
+            longer_s = min(self._max_reconnect_s(), self.reconnect_s * 2)
+            self.reconnect_s = FIRST_RECONNECT_S if connected else longer_s
+            self.first_dial_done.set()
+            self.next_connection_at = self.loop.time() + self.reconnect_s
+        # The connections in use must be checked at the usual interval in the meantime.
+        return self.reconnect_s if urgent else CHECK_INTERVAL_S
 
     async def _dial(self) -> bool:
         """Open one more connection, and send the waiting set-ups on it.
@@ -469,15 +507,15 @@
             return False
         link = Link(reader, writer)
         self.links.append(link)
-        standing = sum(leg.standing for leg in self.legs.values())
-        self.log("info", "sip", "connection opened", switch=self.name, link=link.number, standing=standing)
+        task = self.loop.create_task(self._read_link(link), name=f"link to {self.name}")
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
         self.leases.connected(link, self.loop.time())
         self.last_connected_at = self.loop.time()
         if self.releases_uncertain_since is not None and self.releases_uncertain_since <= dial_started:
             self.releases_uncertain_since = None
-        task = self.loop.create_task(self._read_link(link), name=f"link to {self.name}")
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        standing = sum(leg.standing for leg in self.legs.values())
+        self.log("info", "sip", "connection opened", switch=self.name, link=link.number, standing=standing)
         self._send_pending_releases()
         waiting_legs, self.waiting_legs = self.waiting_legs, []
         for leg in waiting_legs:
@@ -497,7 +535,7 @@
             any_taken = False
             while not link.closed and (message := parse_message(chunks)):
                 any_taken = any_message = True
-                self._on_message(link, message)
+                self._on_message_contained(link, message)
             return any_taken
 
         def on_incomplete() -> None:
@@ -515,38 +553,46 @@
         except FramingError as error:
             error_text = str(error)
         except Exception as error:  # noqa: BLE001 - an error in one message must cost no more than its connection
-            self.log("error", "sip", f"connection dropped: {error!r}", switch=self.name)
+            error_text = "internal error"
+            log_error(self.log, "sip", error, switch=self.name)
         finally:
-            link.abort()
-            self.links.remove(link)
-            self.ping_sent_at.pop(link, None)
-            silent = link in self.closed_as_silent and link not in self.responsive_links
-            if silent or (incomplete and not any_message):
-                self.limits.back_off(link.opened_at, self.loop.time())
-            self.responsive_links.discard(link)
-            self.leases.disconnected(link, silent=link in self.closed_as_silent)
-            self.closed_as_silent.discard(link)
-            self.handled_suspects.discard(link)
-            self.pending_releases.requeue(link)
-            if any(leg.standing and (leg.link is link or leg.setup_link_lost) for leg in self.legs.values()):
-                self.releases_uncertain_since = self.loop.time()
-            # Set-ups without a response end with their connection.
-            cut_legs = [leg for leg in self.legs.values() if leg.link is link and not leg.standing]
-            for leg in cut_legs:
-                self.forget(leg)
-            if error_text:
-                self.log(
-                    "warning", "sip", f"connection dropped: {error_text}", switch=self.name, link=link.number,
-                    cut=len(cut_legs),
-                )  # fmt: skip
-            for leg in cut_legs:
-                # The answer may be among the lost bytes. Without the BYE the call would stay standing without a caller.
-                if not self.retired:
-                    self.send_bye(leg.call_id, NORMAL_CLEARING, None)
-                leg.notify(LegEnded(interface.Outcome.CUT, reason=EndReason.CONNECTION_LOST))
-            self._send_pending_releases()
+            self._forget_link(link, silent_from_start=incomplete and not any_message)
+            self._end_legs_of(link, error_text)
+            run_contained(self.log, "sip", self._send_pending_releases, switch=self.name)
             self.wake_event.set()
 
+    def _forget_link(self, link: Link, silent_from_start: bool) -> None:
+        """Remove a connection that has ended from all state that is kept for connections."""
+        link.abort()
+        self.links.remove(link)
+        self.ping_sent_at.pop(link, None)
+        silent = link in self.closed_as_silent and link not in self.responsive_links
+        if silent or silent_from_start:
+            self.limits.back_off(link.opened_at, self.loop.time())
+        self.responsive_links.discard(link)
+        self.leases.disconnected(link, silent=link in self.closed_as_silent)
+        self.closed_as_silent.discard(link)
+        self.handled_suspects.discard(link)
+        self.pending_releases.requeue(link)
+        if any(leg.standing and (leg.link is link or leg.setup_link_lost) for leg in self.legs.values()):
+            self.releases_uncertain_since = self.loop.time()
+
+    def _end_legs_of(self, link: Link, error_text: str) -> None:
+        """End the set-ups without a response of a connection that has ended. error_text says why, if not by its end."""
+        cut_legs = [leg for leg in self.legs.values() if leg.link is link and not leg.standing]
+        for leg in cut_legs:
+            self.forget(leg)
+        for leg in cut_legs:
+            # The answer may be among the lost bytes. Without the BYE the call would stay standing without a caller.
+            if not self.retired:
+                run_contained(self.log, "sip", self.send_bye, leg.call_id, NORMAL_CLEARING, None)
+            leg.notify(LegEnded(interface.Outcome.CUT, reason=EndReason.CONNECTION_LOST))
+        if error_text:
+            self.log(
+                "warning", "sip", f"connection dropped: {error_text}", switch=self.name, link=link.number,
+                cut=len(cut_legs),
+            )  # fmt: skip
+
     def _end_all_legs(self, reason: EndReason) -> None:
         for leg in list(self.legs.values()):
             self.forget(leg)
@@ -586,14 +632,31 @@
             self._write_pending_releases(link)
 
     def _write_pending_releases(self, link: Link) -> None:
-        for message in self.pending_releases.take_for(link):
-            link.write(message)
+        messages = self.pending_releases.take_for(link)
+        if not all([run_contained(self.log, "sip", link.write, message) for message in messages]):
+            self.pending_releases.requeue(link)
+            self.loop.call_later(RELEASE_RETRY_S, self._send_pending_releases)
 
     def _open_link(self) -> Link | None:
         return self._usable_link() or next((link for link in self.links if not link.closed), None)
 
     # Messages of the switch
 
+    def _on_message_contained(self, link: Link, message: Message) -> None:
+        """Handle one message. An internal error ends the call that it belongs to, and not the connection.
+
+        Raises FramingError if the connection is unusable.
+        """
+        try:
+            self._on_message(link, message)
+        except FramingError:
+            raise
+        except Exception as error:  # noqa: BLE001 - any of them must end as one failed call
+            log_error(self.log, "sip", error, switch=self.name, call=message.call_id)
+            leg = self.legs.get(message.call_id)
+            if leg and leg.link:
+                leg.fail_internal()
+
     def _on_message(self, link: Link, message: Message) -> None:
         if message.start_line.startswith("SIP/2.0 "):
             self._on_response(link, message)
@@ -606,7 +669,7 @@
         elif method == "BYE":
             self._on_bye(link, message)
         elif method == "OPTIONS":
-            link.write(self._ok_response(message))
+            self._confirm(link, message)
         else:
             self.log(
                 "warning",
@@ -641,7 +704,8 @@
         media_description = (
             answer_description(message.body) if status < 300 and leg and not leg.standing else ""
         )
-        link.write(format_request("ACK", message.call_id, message.call_id, INVITE_CSEQ))
+        ack = format_request("ACK", message.call_id, message.call_id, INVITE_CSEQ)
+        run_contained(self.log, "sip", link.write, ack, switch=self.name, call=message.call_id)
         # An answer counts only on the connection of its set-up: switches match by Call-ID and method and answer every
         # set-up with CSeq 1, so the number does not distinguish a late answer from one to a second attempt.
         if leg is None or leg.link is not link:
@@ -665,7 +729,7 @@
 
     def _on_bye(self, link: Link, message: Message) -> None:
         """The switch released a call. The same release may arrive twice."""
-        link.write(self._ok_response(message))
+        run_contained(self.log, "sip", self._confirm, link, message, switch=self.name, call=message.call_id)
         leg = self.legs.get(message.call_id)
         if leg is None or not leg.standing:
             return  # a repeated release, or it crossed our own
@@ -678,6 +742,9 @@
         reason = EndReason.SWITCH_CUT if cut else EndReason.SWITCH_RELEASED
         leg.notify(LegEnded(outcome, None, report, reason))
 
+    def _confirm(self, link: Link, message: Message) -> None:
+        link.write(self._ok_response(message))
+
     def _ok_response(self, message: Message) -> bytes:
         copied_headers = [
             f"{name}: {message.headers[name.lower()]}"
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -313,6 +313,24 @@
         assert switch.count("INVITE") == 1
 
 
+@async_test
+async def test_a_description_that_cannot_be_encoded_is_refused_and_the_switch_stays_in_service():
+    # Such set-ups stayed counted as outstanding, and after nine of them no call of any caller was served.
+    switch = Switch("s-1", 1)
+    async with World(switch) as world:
+        faulty, correct = await world.caller(), await world.caller()
+        for _ in range(9):
+            call = faulty.set_up(1, sdp="\ud800\r\n")
+            refusal = await faulty.next(call)
+            assert (refusal["type"], refusal["cause"]) == ("release", 100)
+        await world.wait_for_log("invalid value of sdp", times=9)
+        assert (await correct.next(correct.set_up(1)))["type"] == "answer"
+        # Bytes that are not UTF-8, as another gatekeeper passes them on, reach the switch as they were.
+        call = faulty.set_up(1, sdp="o=caf\udce9\r\n")
+        assert (await faulty.next(call))["type"] == "answer"
+        assert (await switch.next("INVITE", call))[3] == b"o=caf\xe9\r\n"
+
+
 @async_test
 async def test_a_second_set_up_with_the_same_id_gets_no_answer():
     switch = Switch("s-1", 1, plan=["silent"])
