Write log lines from a thread, so that calls never wait for the reader of the log

With the reader gone, most calls were cut at once. Cause: Syslog._emit wrote with a blocking print in the event loop; a reader that is gone raised BrokenPipeError in whatever logged. Ruled out: the UDP collector and the console, which do not wait. Log records of libraries take the same way. A pipe as the file of call detail records is refused, as opening it would wait for its reader. Latencies with the log read, paused and gone were not measured.

--- a/tansyspur/__main__.py
+++ b/tansyspur/__main__.py
@@ -9,6 +9,7 @@
 import argparse
 import asyncio
 import contextlib
+import logging
 import random
 import signal
 import socket
@@ -33,7 +34,7 @@
 from tansyspur.net.jsonlines import JsonLinesFront
 from tansyspur.net.peers import Peers, parse_address
 from tansyspur.net.sip import SipSwitch
-from tansyspur.syslog import Syslog
+from tansyspur.syslog import LibraryLogHandler, Syslog
 
 if TYPE_CHECKING:
     from tansyspur.cdr.export import CdrFile
@@ -399,7 +400,9 @@
     except configuration.ConfigError as error:
         print(f"tansyspur: {error}", file=sys.stderr)
         return 2
-    log = Syslog(config.name, config.syslog.level, config.syslog.udp_address)
+    log = Syslog(config.name, config.syslog.level, config.syslog.udp_address, queued=True)
+    logging.getLogger().addHandler(LibraryLogHandler(log))
+    logging.captureWarnings(True)
     try:
         return asyncio.run(serve(config, log, arguments.operator))
     except OSError as error:
--- a/tansyspur/cdr/export.py
+++ b/tansyspur/cdr/export.py
@@ -5,7 +5,9 @@
 """
 
 import asyncio
+import errno
 import os
+import stat
 import time
 from collections.abc import Callable
 
@@ -35,7 +37,13 @@
         self.task: asyncio.Task[None] | None = None
 
     def _open(self) -> int:
-        return os.open(self.path, os.O_WRONLY | os.O_APPEND | os.O_CREAT | os.O_CLOEXEC, 0o640)
+        """Open the path. Raises OSError, also for a pipe, whose reader the event loop would have to wait for."""
+        flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT | os.O_CLOEXEC | os.O_NONBLOCK
+        file = os.open(self.path, flags, 0o640)
+        if stat.S_ISFIFO(os.fstat(file).st_mode):
+            os.close(file)
+            raise OSError(errno.EINVAL, "is a pipe; records need a file", self.path)
+        return file
 
     def start(self) -> None:
         self.task = asyncio.get_running_loop().create_task(self._run(), name="call detail records")
--- a/tansyspur/syslog.py
+++ b/tansyspur/syslog.py
@@ -1,13 +1,15 @@
 """The structured log: RFC 5424 lines on standard error, rate-limited, and optionally sent over UDP as well."""
 
+import logging
 import os
 import re
 import socket
-import sys
 import time
 from collections.abc import Mapping
 from datetime import UTC, datetime
 
+from tansyspur.log_writer import DirectWriter, LineWriter, QueuedWriter
+
 SEVERITIES = {"error": 3, "warning": 4, "notice": 5, "info": 6, "debug": 7}
 FACILITY = 16  # local0
 SD_ID = "call@32473"  # the enterprise number of RFC 5612, for documentation
@@ -50,6 +52,7 @@
     """Writes log lines at or above a threshold, at most LINES_PER_S on average with bursts of BURST_LINES.
 
     Lines beyond the rate are dropped and counted; the count is logged. With udp_address each line is sent there too.
+    With queued the caller never waits for the reader of standard error.
     """
 
     def __init__(
@@ -58,11 +61,13 @@
         threshold: str = "info",
         udp_address: tuple[str, int] | None = None,
         app: str = "tansyspur",
+        queued: bool = False,
     ) -> None:
         self.header = f"{printable(host, 255)} {printable(app, 48)} {os.getpid()}"
         self.set_level(threshold)
         self.allowance, self.allowance_at, self.dropped = BURST_LINES, time.monotonic(), 0
         self.drops_reported_at = 0.0
+        self.writer: LineWriter = QueuedWriter(self._format_drops) if queued else DirectWriter()
         self.udp_address = udp_address
         self.socket: socket.socket | None = None
         if udp_address:
@@ -92,12 +97,14 @@
         if self.dropped and now - self.drops_reported_at >= 1:
             self.drops_reported_at = now
             dropped, self.dropped = self.dropped, 0
-            self._emit(4, "dropped", f"{dropped} lines were dropped", {"lines": dropped})
-        self._emit(severity, msgid, text, params)
+            self._emit(self._format_drops(dropped))
+        self._emit(self.format(severity, msgid, text, params))
+
+    def _format_drops(self, count: int) -> str:
+        return self.format(SEVERITIES["warning"], "dropped", f"{count} lines were dropped", {"lines": count})
 
-    def _emit(self, severity: int, msgid: str, text: str, params: dict[str, object]) -> None:
-        line = self.format(severity, msgid, text, params)
-        print(line, file=sys.stderr, flush=True)
+    def _emit(self, line: str) -> None:
+        self.writer.write(line)
         if self.socket and self.udp_address:
             try:
                 self.socket.sendto(line.encode(), self.udp_address)
@@ -109,8 +116,24 @@
         return format_message(severity, datetime.now(UTC), self.header, msgid, SD_ID, present, text)
 
     def close(self) -> None:
-        """Log the number of lines dropped since the last report, and close the UDP socket."""
+        """Log the number of lines dropped since the last report, and close the writer and the UDP socket."""
         if self.dropped:
-            self._emit(4, "dropped", f"{self.dropped} lines were dropped", {"lines": self.dropped})
+            self._emit(self._format_drops(self.dropped))
+        self.writer.close()
         if self.socket:
             self.socket.close()
+
+
+class LibraryLogHandler(logging.Handler):
+    """Passes what libraries log, such as the warnings of asyncio, on to the structured log.
+
+    Without it the standard library writes these texts to standard error, and waits for the reader.
+    """
+
+    def __init__(self, log: Syslog) -> None:
+        super().__init__(logging.WARNING)
+        self.log = log
+
+    def emit(self, record: logging.LogRecord) -> None:
+        level = "error" if record.levelno >= logging.ERROR else "warning"
+        self.log(level, "library", record.getMessage(), logger=record.name)
