Take queued signals in one place, and simplify what the last changes added

The loop that empties a call's queue stood four times in gatekeeper.py, the fourth since the refusal at the deadline; it is now Call.queued_signals. ReservedPorts is a generator-based context manager, reserved_ports. Removed: a method that only passed an error on (Iax2Switch), a containment around calls that are contained already (SipSwitch) and the result of JsonLinesFront.forget, which nothing used any more. No behaviour and no assertion changed.

--- a/tansyspur/core/call.py
+++ b/tansyspur/core/call.py
@@ -1,6 +1,7 @@
 """An open call of the gatekeeper, and the orders and signals that its task receives."""
 
 import asyncio
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 from tansyspur import interface
@@ -34,6 +35,11 @@
     attempt_started_ns: int = 0  # of the last attempt
     task: asyncio.Task[None] | None = None
 
+    def queued_signals(self) -> Iterator[ports.Signal | Order]:
+        """Take the signals that are in the queue, one at a time and without waiting; the rest stay in the queue."""
+        while not self.signals.empty():
+            yield self.signals.get_nowait()
+
     def caller_left(self, cause: int = ports.NORMAL_CLEARING) -> None:
         """Called by the front when the caller gives up or hangs up."""
         self.signals.put_nowait(CallerLeft(cause))
--- a/tansyspur/core/gatekeeper.py
+++ b/tansyspur/core/gatekeeper.py
@@ -33,9 +33,7 @@
 DEADLINE_MARGIN_MS = 10  # the final answer is sent this long before the caller stops waiting
 # A busy group sends a newer report sooner than this. With 50 ms, the old report misled more calls than it helped.
 REPORT_RESTORE_DELAY_S = 1.0
-TIMER_RETRY_S = (
-    1.0  # a timer of the controller is repeated after an error; without it no queue would be served
-)
+TIMER_RETRY_S = 1.0  # after an error in a timer of the controller, without which no queue is served
 SETTINGS_OVERLAP_S = 1.0  # callers may still use the former settings for this long after a change
 MAX_OPEN_CALLS = 20_000  # further calls are refused on arrival
 
@@ -512,9 +510,7 @@
         After a stall of the process the order and the deadline come due in the same turn of the event loop. Without
         this, a call that was refused in time would fail, without a time for its caller's next try.
         """
-        signals = []
-        while not call.signals.empty():
-            signals.append(call.signals.get_nowait())
+        signals = list(call.queued_signals())
         for signal in signals:
             if isinstance(signal, interface.Refuse | interface.Fail | CallerLeft):
                 return signal
@@ -561,8 +557,7 @@
         if result == LegEnded(interface.Outcome.TIMED_OUT):
             # A signal that came in the same turn of the event loop as the time-out is still in the queue.
             # Without this, an answer would be lost.
-            while not call.signals.empty():
-                signal = call.signals.get_nowait()
+            for signal in call.queued_signals():
                 if isinstance(signal, Answered | LegEnded | CallerLeft):
                     result = signal
                     break
@@ -579,8 +574,8 @@
 
     def _release_queued_answer(self, call: Call, leg: ports.SwitchLeg) -> None:
         """Release the call at the switch if its answer is queued behind the time-out or the caller's leaving."""
-        while not call.signals.empty():
-            if isinstance(call.signals.get_nowait(), Answered):
+        for signal in call.queued_signals():
+            if isinstance(signal, Answered):
                 leg.release(ports.NORMAL_CLEARING)
 
     async def _serve_standing(self, call: Call, leg: ports.SwitchLeg) -> None:
@@ -647,8 +642,7 @@
     def _abandon(self, call: Call) -> None:
         """Report that the call needs no more orders. A set-up already ordered is reported as not sent."""
         self.consult(interface.CallAbandoned(call.call_id))
-        while not call.signals.empty():
-            order = call.signals.get_nowait()
+        for order in call.queued_signals():
             if isinstance(order, interface.SetUp):
                 call.attempts, call.switch_id = call.attempts + 1, order.switch_id
                 call.attempt_started_ns = self.clock.now_ns()
--- a/tansyspur/iax2/back.py
+++ b/tansyspur/iax2/back.py
@@ -161,7 +161,7 @@
 
     def fail_internal(self, error: Exception) -> None:
         """End the attempt on both sides after an internal error."""
-        self.switch.log_error(error, self.wire_id)
+        log_error(self.switch.log, "iax2", error, switch=self.switch.name, call=self.wire_id)
         if self.leg:
             code = (IE.CAUSECODE, bytes([TEMPORARY_FAILURE]))
             run_contained(self.switch.log, "iax2", self.leg.finish, Iax.HANGUP, code, call=self.wire_id)
@@ -245,9 +245,6 @@
                     attempt.fail_internal(error)
         return attempt
 
-    def log_error(self, error: Exception, wire_id: str) -> None:
-        log_error(self.log, "iax2", error, switch=self.name, call=wire_id)
-
     def probe(self, notify: Callable[[interface.Outcome, interface.LoadReport | None], None]) -> None:
         """Report the state of the trunk group at once: IAX2 has no message that requests the load of a switch."""
         free = self.circuits - len(self.attempts) if self.circuits else None
--- a/tansyspur/net/jsonlines.py
+++ b/tansyspur/net/jsonlines.py
@@ -127,6 +127,10 @@
         self.call: Call | None = None
         self.standing = False
 
+    @property
+    def _is_open(self) -> bool:
+        return self.front.legs.get(self.wire_id) is self
+
     def answer(self, description: str) -> bool:
         if self.link.closed or self.wire_id not in self.front.legs:
             return False
@@ -148,12 +152,12 @@
 
     def _send_final(self, message: bytes) -> None:
         # Forgotten once it is written, so that the answer can be sent again after an error.
-        if self.front.legs.get(self.wire_id) is self:
+        if self._is_open:
             self.link.write(message)
             self.front.forget(self)
 
     def release(self, cause: int) -> None:
-        if self.front.legs.get(self.wire_id) is self:
+        if self._is_open:
             message = format_line("release", self.wire_id, cause=cause)
             self.front.release_anywhere(self.wire_id, self.link, message)
             self.front.forget(self)
@@ -373,9 +377,8 @@
         self.gatekeeper.metrics.deliveries[delivery] += 1
         level = "debug" if delivery is Delivery.WRITTEN else "info"
         number = link.number if link else ""
-        with contextlib.suppress(
-            Exception
-        ):  # the release is written: an error here must not end the call again
+        # The release is written: an error here must not end the call again.
+        with contextlib.suppress(Exception):
             self.log(level, "release", delivery.value, call=wire_id, link=number, late_ms=int(late_s * 1000))
 
     def _cancel_delivery_timer(self, link: Link) -> None:
@@ -497,13 +500,11 @@
             self.links.discard(idle_link)
         return idle_link is not None
 
-    def forget(self, leg: JsonLeg) -> bool:
-        """Remove an ended call; returns False if it was removed before."""
-        if self.legs.get(leg.wire_id) is not leg:
-            return False
-        del self.legs[leg.wire_id]
-        self._remember_ended(leg.wire_id)
-        return True
+    def forget(self, leg: JsonLeg) -> None:
+        """Remove an ended call. Does nothing if it was removed before."""
+        if self.legs.get(leg.wire_id) is leg:
+            del self.legs[leg.wire_id]
+            self._remember_ended(leg.wire_id)
 
     def _remember_ended(self, wire_id: str) -> None:
         self.ended_ids[wire_id] = None
--- a/tansyspur/net/sip.py
+++ b/tansyspur/net/sip.py
@@ -558,7 +558,7 @@
         finally:
             self._forget_link(link, silent_from_start=incomplete and not any_message)
             self._end_legs_of(link, error_text)
-            run_contained(self.log, "sip", self._send_pending_releases, switch=self.name)
+            self._send_pending_releases()
             self.wake_event.set()
 
     def _forget_link(self, link: Link, silent_from_start: bool) -> None:
--- a/tansyspur/rig/fleetrun.py
+++ b/tansyspur/rig/fleetrun.py
@@ -26,7 +26,7 @@
 
 from tansyspur.planner.fleet import Fleet, Load
 from tansyspur.rig.fleet_model import FleetModel, holding_time, poisson_times
-from tansyspur.rig.reserved_ports import ReservedPorts
+from tansyspur.rig.reserved_ports import reserved_ports
 from tansyspur.rig.results import (
     FORMAT,
     CallResult,
@@ -238,8 +238,8 @@
         names = self.fleet.names
         host = run_host()
         with (
-            ReservedPorts(host, names, socket.SOCK_STREAM) as callers,
-            ReservedPorts(host, names, socket.SOCK_DGRAM) as peers,
+            reserved_ports(host, names, socket.SOCK_STREAM) as callers,
+            reserved_ports(host, names, socket.SOCK_DGRAM) as peers,
         ):
             self.peer_network = PeerNetwork(host, peers, self.model.delay_s, self.messages)
             if self.fleet.rules.fill_reports:
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -20,7 +20,7 @@
 from tansyspur.planner.fleet import StoreSwitch
 from tansyspur.rig import results
 from tansyspur.rig.fleet_model import OtherWork, Processor, TrunkGroup, poisson_times
-from tansyspur.rig.reserved_ports import ReservedPorts
+from tansyspur.rig.reserved_ports import reserved_ports
 from tests.test_erlang import tool
 from tests.test_records import EXAMPLES
 from tests.world import ROOT, WAIT_TIMEOUT_S
@@ -89,7 +89,7 @@
     # Such a gatekeeper could not bind its address, and ended during its start.
     names = [f"casa-{number}" for number in range(50)]
     for socket_type in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-        with ReservedPorts("127.0.0.1", names, socket_type) as ports:
+        with reserved_ports("127.0.0.1", names, socket_type) as ports:
             assert sorted(ports) == sorted(names) and len(set(ports.values())) == len(names)
             for port in ports.values():
                 with (
