--- a/review/7/case.py
+++ b/review/7/case.py
@@ -23,8 +23,7 @@
     attempts = [switch.of(call)[0] for switch, call in zip(switches[1:4], calls, strict=True)]
     if run.trouble:
         for switch, attempt in zip(switches[1:4], attempts, strict=True):
-            switch.note(f"resets the idle connection {attempt.link.number}")
-            attempt.link.transport.abort()
+            switch.reset(attempt.link)
     await asyncio.sleep(1.0)
     for switch, attempt in zip(switches[1:4], attempts, strict=True):
         # Its own connection has gone, so any open one will do: the one that has been open for longest.
--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -13,6 +13,7 @@
 import shutil
 import signal
 import socket
+import struct
 import sys
 import tempfile
 import time
@@ -406,6 +407,12 @@
                 attempt.link, "SIP/2.0 200 OK", attempt.call_id, "1 INVITE", body=attempt.description.encode()
             )
 
+    def reset(self, link):
+        """Reset the connection: the other side gets an RST, and not an orderly close."""
+        self.note(f"resets connection {link.number}")
+        link.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        link.transport.abort()
+
     def end_call(self, attempt, link=None):
         """The call comes to its end: BYE on the connection of its set-up, else on any open one."""
         message = (
