--- a/review/6/case.py
+++ b/review/6/case.py
@@ -27,6 +27,7 @@
         bad = await Caller(run, "bad client").connect(platform.listen_port)
         bad.send_raw(f'{{"type":"release","id":"{secrets.token_hex(8)}","fields":{{}},"cause":{"9" * 4200}}}')
     await asyncio.sleep(NO_ROUTE_LIMIT_S + 2)
+    await run.until_alone(old)
     for call in calls:
         attempt = next(attempt for switch in switches for attempt in switch.of(call))
         if attempt.bye_received_at is None:
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -32,6 +32,7 @@
     if old.returncode is not None:
         raise RuntimeError("the old process ended before the calls did")
     await asyncio.sleep(WATCH_S)
+    await run.until_alone(old)
     for call, attempt in zip(calls, attempts, strict=True):
         told = [at for caller in (first, second) for at, _ in caller.of(call, "release")]
         if not told or told[0] > attempt.bye_sent_at + RELEASE_LIMIT_S:
