Refuse a SIP message whose body goes on behind its Content-Length

Cause: parse_message (net/sip_messages.py) returned the message as soon as Content-Length bytes were there, before it looked at the bytes behind them, and a description that is cut at a line end has the form that answer_description asks for. Ruled out: a late check in _on_response (the log shows 'stands' and 'not a SIP message' in the same read), and lengths that are wrong otherwise (those end within a line, and were refused already).

Change: a line of SDP behind the body makes the message unreadable. Noise that is none still costs only what follows it.

--- a/tansyspur/net/sip_messages.py
+++ b/tansyspur/net/sip_messages.py
@@ -11,6 +11,8 @@
 HEADER = re.compile(r"[!-9;-~]+[ \t]*:.*")
 # The description of a call's media: one word that both sides leave as it is, then lines of SDP (RFC 4566).
 DESCRIPTION = re.compile(r"\S+[ \t]*\r\n(?:[a-z]=[^\x00-\x08\x0a-\x1f\x7f]*\r\n)+")
+# A further line of SDP, or its first byte, behind a body: no message begins with a letter in lower case.
+BODY_CONTINUES = re.compile(rb"[a-z](?:=|\Z)")
 COMPACT_HEADER_NAMES = {
     "i": "call-id",
     "l": "content-length",
@@ -39,7 +41,8 @@
     """Consume and return the next complete message; None if it has not arrived.
 
     Raises FramingError at the first byte that cannot belong to a message: after it the start of the next message is
-    unknown, and anything read from there on could be assembled from parts of several messages.
+    unknown, and anything read from there on could be assembled from parts of several messages. The same holds for a
+    message whose body goes on behind its Content-Length: what was counted of it is not what was sent.
     """
     while chunks.view[:2] == b"\r\n":  # RFC 3261 section 7.5: empty lines before a message
         chunks.take(2)
@@ -74,6 +77,8 @@
         raise FramingError(f"SIP message longer than {MAX_MESSAGE_BYTES // 1024} KiB")
     if len(chunks.view) < total_bytes:
         return None
+    if int(length) and BODY_CONTINUES.match(chunks.view[total_bytes:]):
+        raise FramingError("SIP message with a Content-Length that is too short for its body")
     return Message(start_line, headers, chunks.take(total_bytes)[head_bytes + 4 :])
 
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -431,6 +431,7 @@
     b"BYE sip:x SIP/2.0\r\nno header\r\n\r\n",
     b"SIP/2.0 200 OK\r\nCSeq: 1 INVITE\r\nContent-Length: 0\r\n\r\n",
     ANSWER.replace(b"SIP/2.0", b"SIP/9.9"), ANSWER.replace(b"27", b"25"), ANSWER.replace(b"27", b"90"),
+    ANSWER.replace(b"27", b"23"),  # short by the whole last line: what is left has the form of a description
     ANSWER.replace(b"27", b"31") + b"SIP/", ANSWER.replace(b"27", b"0"), ANSWER.replace(b"ab", b"\xf2\xa0"),
     ANSWER.replace(b"OK\r\n", b"OK\r\nContent-Length: x\r\n"),
     ANSWER.replace(b"OK\r\n", b"OK\r\nCall-ID: y\r\n"),
