Tell the end of a call on a connection that has sent nothing yet

Cause: release_anywhere (net/jsonlines.py) looked at connections that have brought a call only; a pending release was written on other connections once, 50 ms after they were opened, so one that became pending later waited for the next set-up. Ruled out: the way between the two processes (the log of the new one has the releases as 'owed').

Change: a release that becomes pending is written at once on the newest 64 connections at most that have sent nothing, and stays pending until one of them proves to be a caller's. Connections that have sent a ping get none, as the platform's front does.

--- a/tansyspur/net/jsonlines.py
+++ b/tansyspur/net/jsonlines.py
@@ -39,6 +39,7 @@
 IDLE_CHECK_INTERVAL_S = 0.02  # between searches for connections to close, while callers are diverted
 PENDING_LIFETIME_S = 120.0  # for a pending release; a caller that reconnects late still holds its call
 MAX_PENDING = 5_000
+MAX_UNIDENTIFIED_TARGETS = 64  # connections that have sent nothing, on which one pending release is written
 CONFIRMATION_WINDOW_S = 1.0  # a release on a connection that ends this soon after may not have arrived
 TOKEN = re.compile(r"[!-~]{1,128}")
 CALL_ID = re.compile(r"[0-9A-Fa-f]{16}")
@@ -207,6 +208,7 @@
         self.links: set[Link] = set()
         self.delivery_timers: dict[Link, asyncio.TimerHandle] = {}  # of connections not identified yet
         self.caller_links: set[Link] = set()  # connections that have sent a set-up, or the release of a call
+        self.pinging_links: set[Link] = set()  # connections that have sent a ping
         self.ended_ids: dict[str, None] = {}  # ids of ended calls, oldest first
         self.pending: dict[str, PendingRelease] = {}  # releases not yet sent to a caller, oldest first
         self.unconfirmed: dict[str, tuple[float, Link, bytes]] = {}  # releases written recently, by id
@@ -364,12 +366,30 @@
             delivery = Delivery.WRITTEN if target is link else Delivery.REDIRECTED
             self._note_delivery(delivery, wire_id, target)
         elif len(self.pending) < MAX_PENDING:
-            self.pending[wire_id] = PendingRelease(now, message)
+            release = self.pending[wire_id] = PendingRelease(now, message)
             self._note_delivery(Delivery.PENDING, wire_id)
             self.forward_pending_releases()
+            if wire_id in self.pending:
+                self._write_on_unidentified_links(release)
         else:
             self._note_delivery(Delivery.EXPIRED, wire_id)
 
+    def _write_on_unidentified_links(self, release: PendingRelease) -> None:
+        """Write a release on the newest connections that have sent nothing yet; it stays pending.
+
+        A caller that is back with no further call to make waits on such a connection, and would not be told until its
+        next set-up. One that has sent a ping may be the platform's front, and gets none.
+        """
+        unidentified = [
+            link
+            for link in self.links - self.caller_links - self.pinging_links
+            if link not in self.delivery_timers and not link.closed and not link.unsent
+        ]
+        unidentified.sort(key=lambda link: link.opened_at, reverse=True)
+        for link in unidentified[:MAX_UNIDENTIFIED_TARGETS]:
+            release.sent_to.add(link.number)
+            link.write(release.message)
+
     def _note_delivery(
         self, delivery: Delivery, wire_id: str, link: Link | None = None, late_s: float = 0.0
     ) -> None:
@@ -391,6 +411,7 @@
         They stay pending until a connection proves to be a caller's, by a set-up for example.
         """
         now = link.loop.time()
+        self._cancel_delivery_timer(link)
         for wire_id, release in list(self.pending.items()):
             if now - max(release.created_at, self.resumed_at) > PENDING_LIFETIME_S:
                 del self.pending[wire_id]
@@ -450,6 +471,7 @@
             link.abort()
             self.links.discard(link)
             self.caller_links.discard(link)
+            self.pinging_links.discard(link)
             for leg in [leg for leg in self.legs.values() if leg.link is link and not leg.standing]:
                 self._on_caller_left(leg, NORMAL_CLEARING)
             # The caller may have closed before it read a release: send it once more.
@@ -555,6 +577,7 @@
             # A ping gets its pong only, without pending releases: to the platform's front anything but a pong is a
             # negative answer, and the callers that need the releases would never come back.
             self._cancel_delivery_timer(link)
+            self.pinging_links.add(link)
             link.write(format_line("pong", wire_id, cause=1 if self.gatekeeper.accepts_callers else 0))
         elif message_type == "released":
             self.unconfirmed.pop(wire_id, None)
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -67,6 +67,28 @@
         assert (await last.next(last.set_up(1)))["type"] == "answer"
 
 
+@pytest.mark.parametrize("replaced", [False, True])
+@async_test
+async def test_a_caller_that_is_back_with_nothing_to_send_hears_the_end_of_its_call(replaced):
+    # An end that became pending after a connection was open waited for the next set-up, which may never come.
+    switch = Switch("s-1", 1)
+    async with World(switch) as world:
+        caller = await world.caller()
+        call = caller.set_up(1)
+        await caller.next(call, "answer")
+        if replaced:
+            (await world.start_successor()).send_signal(signal.SIGTERM)
+            assert await caller.no_message_within(WAIT_TIMEOUT_S)  # closed
+        caller.close()
+        back, front = await world.caller(), await world.caller()
+        front.send("ping", "ffffffffffffffff", cause=0)
+        assert (await front.next())["type"] == "pong"
+        await asyncio.sleep(0.5)  # nothing was pending when the connections were new
+        switch.bye(call)
+        assert (await back.next(call))["type"] == "release"
+        assert await front.no_message_within()  # the platform's front would take it for a failed test
+
+
 @async_test
 async def test_connections_are_closed_after_the_time_for_answers_even_if_a_call_stands():
     # Without this, set-ups would reach the old process on a connection that is never idle, and be lost at its exit.
