Check the messages between two processes, and survive one that is unusable

Cause: _on_release (net/jsonlines.py) passed the cause of an unknown call on unchecked, and Partner.run (net/handover.py) ended on a line over 4,096 bytes, on one that is no JSON and on one without a type, and closed the connection, whose end is taken for the exit of the other process. Ruled out: the client's reply and the passing of the sockets, which come before.

Change: typed messages with one check of members and length (net/handover_messages.py); an unusable line is logged and skipped; an error in a handler is contained; what waits for a process that hangs is bounded. The names on the wire stay, so that processes of the former version understand each other.

--- a/tansyspur/__main__.py
+++ b/tansyspur/__main__.py
@@ -16,7 +16,7 @@
 import sys
 from collections.abc import Callable
 from dataclasses import replace
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from tansyspur import config as configuration
 from tansyspur import interface
@@ -31,6 +31,7 @@
 from tansyspur.net.channel import Channel
 from tansyspur.net.console import Console
 from tansyspur.net.handover import Handover, Partner
+from tansyspur.net.handover_messages import MAX_LINE_BYTES, CallEnd, CallerRelease, Message, Sender, Serving
 from tansyspur.net.jsonlines import JsonLinesFront
 from tansyspur.net.peers import Peers, parse_address
 from tansyspur.net.sip import SipSwitch
@@ -220,8 +221,10 @@
 
         Until then the predecessor serves the callers.
         """
-        reader, writer = await asyncio.open_unix_connection(sock=predecessor_socket)
-        predecessor = self.predecessor = Partner(reader, writer, self.on_predecessor_message)
+        reader, writer = await asyncio.open_unix_connection(sock=predecessor_socket, limit=MAX_LINE_BYTES)
+        predecessor = self.predecessor = Partner(
+            Sender.PREDECESSOR, reader, writer, self.on_predecessor_message, self.log
+        )
         self.gatekeeper.spawn(predecessor.run(), "predecessor")
         self.gatekeeper.spawn(
             self.after_predecessor_exit(predecessor), "wait for the exit of the predecessor"
@@ -240,7 +243,7 @@
             wait.cancel()
         if not self.stop_requested.is_set():
             await self.start_serving()
-            predecessor.send("serving")
+            predecessor.send(Serving())
             self.mark_started()
 
     async def wait_until_informed(self) -> None:
@@ -268,13 +271,13 @@
             # its exit.
             await self.open_iax2(self.config.iax2)
 
-    def on_predecessor_message(self, row: dict[str, Any]) -> None:
-        if row["type"] == "release":
-            self.front.release_for_other_process(row)
+    def on_predecessor_message(self, message: Message) -> None:
+        if isinstance(message, CallEnd):
+            self.front.release_for_other_process(message)
 
-    def on_successor_message(self, successor: Partner, row: dict[str, Any]) -> None:
+    def on_successor_message(self, successor: Partner, message: Message) -> None:
         """Handle a message: the successor serves the callers from now on, or passes a release on."""
-        if row["type"] == "serving":
+        if isinstance(message, Serving):
             # Nothing new is accepted here, and releases without a connection here are sent through the successor.
             self.log(
                 "notice",
@@ -287,8 +290,8 @@
             self.gatekeeper.messenger = None
             self.front.send_to_other_process, self.front.handed_over = successor.send, True
             self.front.forward_pending_releases()
-        elif row["type"] == "release":
-            self.front.release_from_other_process(row)
+        elif isinstance(message, CallerRelease):
+            self.front.release_from_other_process(message)
 
     def on_successor_changed(self) -> None:
         self.front.set_connection_limit(self.max_connections())
--- a/tansyspur/core/ports.py
+++ b/tansyspur/core/ports.py
@@ -18,6 +18,13 @@
 CONGESTION = 42
 INVALID_ELEMENT = 100
 TIMER_EXPIRED = 102
+MAX_CAUSE = 127
+
+
+def cause_or_normal(value: object) -> int:
+    """A received cause; that of normal clearing for any value that is none, since the call is over all the same."""
+    is_cause = isinstance(value, int) and not isinstance(value, bool) and 0 < value <= MAX_CAUSE
+    return value if is_cause else NORMAL_CLEARING
 
 
 @dataclass(slots=True, frozen=True)
--- a/tansyspur/net/handover.py
+++ b/tansyspur/net/handover.py
@@ -2,21 +2,32 @@
 
 The process that serves listens on a Unix socket in $TMPDIR, and sends its listening sockets to the process that
 connects there. The connection stays open as long as both processes live; its end shows either of them that the other
-has ended. Over it each process passes on, as JSON lines, messages for calls of the other.
+has ended. Over it each process passes on messages for calls of the other (net/handover_messages.py).
 """
 
 import asyncio
 import contextlib
-import json
 import os
 import socket
 from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
+from tansyspur.core.error_boundary import run_contained
+from tansyspur.net.handover_messages import (
+    MAX_LINE_BYTES,
+    InvalidMessage,
+    Message,
+    Sender,
+    Serving,
+    decode,
+    encode,
+)
+
 REQUEST_TIMEOUT_S = 1.0  # a predecessor that hangs must not prevent the start of the next process
 MAX_SOCKETS = 4
-MAX_LINE_BYTES = 4096
+MAX_UNSENT_BYTES = 1024 * 1024  # for another process that hangs
+MAX_NAMES_BYTES = 4096  # the names of the sockets that are handed over
 
 Log = Callable[..., None]
 Sockets = dict[str, socket.socket]
@@ -58,7 +69,7 @@
         if path.lstat().st_uid != os.getuid():
             raise PermissionError(f"{path.name} belongs to another user")
         connection.connect(str(path))
-        names, descriptors, _, _ = socket.recv_fds(connection, MAX_LINE_BYTES, MAX_SOCKETS)
+        names, descriptors, _, _ = socket.recv_fds(connection, MAX_NAMES_BYTES, MAX_SOCKETS)
         if not descriptors:
             raise OSError("no sockets received")
     except FileNotFoundError:
@@ -76,38 +87,65 @@
 
 
 class Partner:
-    """The connection to the other process, predecessor or successor; ended is set when it ends.
+    """The connection to the other process, predecessor or successor; ended is set when it ends, and only then.
 
-    on_message gets each message of the other process as a dictionary with the key "type".
+    role is that of the other process. on_message gets each of its messages. A line that is none is logged and skipped:
+    its end must not be taken for the end of the other process, whose calls would then be cut.
     """
 
     def __init__(
         self,
+        role: Sender,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-        on_message: Callable[[dict[str, Any]], None],
+        on_message: Callable[[Message], None],
+        log: Log,
     ) -> None:
-        self.reader, self.writer, self.on_message = reader, writer, on_message
+        self.role, self.reader, self.writer = role, reader, writer
+        self.own_role = Sender.SUCCESSOR if role is Sender.PREDECESSOR else Sender.PREDECESSOR
+        self.on_message, self.log = on_message, log
         self.serving = False  # whether the other process has reported that it serves
         self.ended = asyncio.Event()
 
-    def send(self, message_type: str, **members: Any) -> None:
-        """Send a message, unless the connection is closing."""
+    def send(self, message: Message) -> None:
+        """Send a message, unless the connection is closing. One that cannot be sent is logged and dropped."""
+        try:
+            line = encode(message, self.own_role)
+            if self.writer.transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+                raise InvalidMessage("the other process does not read")
+        except InvalidMessage as error:
+            return self.log("warning", "handover", f"message not sent to the {self.role.value}: {error}")
         if not self.writer.is_closing():
-            self.writer.write(json.dumps({"type": message_type, **members}).encode() + b"\n")
+            self.writer.write(line)
 
     async def run(self) -> None:
         """Receive messages until the connection ends."""
         try:
-            with contextlib.suppress(OSError, ValueError):
-                while line := await self.reader.readline():
-                    row = json.loads(line)
-                    self.serving = self.serving or row["type"] == "serving"
-                    self.on_message(row)
+            with contextlib.suppress(OSError):
+                while (line := await self._next_line()) != b"":
+                    self._on_line(line)
         finally:
             self.ended.set()
             self.writer.close()
 
+    async def _next_line(self) -> bytes | None:
+        """The next line; None for one that is too long, which is discarded; b"" at the end of the connection."""
+        try:
+            return await self.reader.readline()
+        except ValueError:
+            return None
+
+    def _on_line(self, line: bytes | None) -> None:
+        try:
+            if line is None:
+                raise InvalidMessage(f"a line longer than {MAX_LINE_BYTES} bytes")
+            message = decode(line, self.role)
+        except InvalidMessage as error:
+            return self.log("warning", "handover", f"ignored from the {self.role.value}: {error}")
+        self.serving = self.serving or isinstance(message, Serving)
+        if message:
+            run_contained(self.log, "handover", self.on_message, message)
+
 
 class Handover:
     """The side of the process that serves. It hands its sockets to one successor at a time.
@@ -120,7 +158,7 @@
         self,
         path: Path,
         sockets: Sockets,
-        on_message: Callable[[Partner, dict[str, Any]], None],
+        on_message: Callable[[Partner, Message], None],
         on_successor_changed: Callable[[], None],
         spawn: Spawn,
         log: Log,
@@ -181,7 +219,9 @@
         finally:
             connection.close()
         self.log("notice", "handover", "successor connected; sockets sent")
-        partner = self.successor = Partner(reader, writer, lambda row: self.on_message(partner, row))
+        partner = self.successor = Partner(
+            Sender.SUCCESSOR, reader, writer, lambda message: self.on_message(partner, message), self.log
+        )
         self.on_successor_changed()
         try:
             await partner.run()
--- /dev/null
+++ b/tansyspur/net/handover_messages.py
@@ -0,0 +1,103 @@
+"""Messages between two processes at one address during a hand-over: types, checks and wire form. No I/O.
+
+Each message is one JSON object on a line of at most MAX_LINE_BYTES. The names on the wire depend on the sender, since
+an earlier version used "release" with another meaning in each direction. A process ignores types that it does not
+know: the other one may be of a later version.
+"""
+
+import json
+import re
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+from tansyspur.core.ports import cause_or_normal
+
+MAX_LINE_BYTES = 4096
+CALL_ID = re.compile(r"[0-9A-Fa-f]{16}")
+
+
+class Sender(Enum):
+    PREDECESSOR = "predecessor"
+    SUCCESSOR = "successor"
+
+
+class InvalidMessage(Exception):
+    """A line that is no message, or a message that does not fit on a line."""
+
+
+@dataclass(slots=True, frozen=True)
+class Serving:
+    """The sender accepts the callers from now on."""
+
+
+@dataclass(slots=True, frozen=True)
+class CallerRelease:
+    """A caller released a call that the sender does not hold."""
+
+    call_id: str
+    cause: int  # Q.850
+
+
+@dataclass(slots=True, frozen=True)
+class CallEnd:
+    """A call that the sender held is over, and the receiver has the connections of callers: it tells the caller."""
+
+    call_id: str
+    cause: int  # Q.850
+
+
+Message = Serving | CallerRelease | CallEnd
+
+TYPES: dict[Sender, dict[str, type[Message]]] = {
+    Sender.PREDECESSOR: {
+        "release": CallEnd,
+    },
+    Sender.SUCCESSOR: {
+        "serving": Serving,
+        "release": CallerRelease,
+    },
+}
+
+
+def encode(message: Message, sender: Sender) -> bytes:
+    """Return the message as a line. Raises InvalidMessage if this sender does not send it, or if it is too long."""
+    names = [name for name, message_type in TYPES[sender].items() if message_type is type(message)]
+    if not names:
+        raise InvalidMessage(f"a {sender.value} sends no {type(message).__name__}")
+    line = json.dumps({"type": names[0], **_members(message)}).encode() + b"\n"
+    if len(line) > MAX_LINE_BYTES:
+        raise InvalidMessage(f"a message of {len(line)} bytes; a line may have {MAX_LINE_BYTES}")
+    return line
+
+
+def decode(line: bytes, sender: Sender) -> Message | None:
+    """Return the message of a line from this sender; None for a type that is not known. Raises InvalidMessage."""
+    try:
+        row = json.loads(line)
+    except (ValueError, RecursionError):
+        raise InvalidMessage("a line that is not JSON") from None
+    if not isinstance(row, dict):
+        raise InvalidMessage("a line that is no JSON object")
+    message_type = TYPES[sender].get(str(row.get("type")))
+    return message_type and _parse(message_type, row)
+
+
+def _members(message: Message) -> dict[str, Any]:
+    match message:
+        case Serving():
+            return {}
+        case CallerRelease(call_id, cause) | CallEnd(call_id, cause):
+            return {"id": call_id, "cause": cause}
+
+
+def _parse(message_type: type[Message], row: dict[str, Any]) -> Message:
+    if message_type is CallerRelease or message_type is CallEnd:
+        return message_type(_call_id(row.get("id")), cause_or_normal(row.get("cause")))
+    return Serving()
+
+
+def _call_id(value: Any) -> str:
+    if not isinstance(value, str) or not CALL_ID.fullmatch(value):
+        raise InvalidMessage("id: expected 16 hex digits")
+    return value
--- a/tansyspur/net/jsonlines.py
+++ b/tansyspur/net/jsonlines.py
@@ -19,8 +19,9 @@
 from tansyspur.core.error_boundary import log_error, run_contained
 from tansyspur.core.gatekeeper import Gatekeeper
 from tansyspur.core.metrics import Delivery, SetUpResult
-from tansyspur.core.ports import INVALID_ELEMENT, NORMAL_CLEARING, TEMPORARY_FAILURE, Offer
+from tansyspur.core.ports import INVALID_ELEMENT, NORMAL_CLEARING, TEMPORARY_FAILURE, Offer, cause_or_normal
 from tansyspur.net.framing import Chunks, FramingError
+from tansyspur.net.handover_messages import CALL_ID, CallEnd, CallerRelease, Message
 from tansyspur.net.link import Link
 
 INVALID_REFERENCE = 81  # Q.850: a release of no call
@@ -42,7 +43,6 @@
 MAX_UNIDENTIFIED_TARGETS = 64  # connections that have sent nothing, on which one pending release is written
 CONFIRMATION_WINDOW_S = 1.0  # a release on a connection that ends this soon after may not have arrived
 TOKEN = re.compile(r"[!-~]{1,128}")
-CALL_ID = re.compile(r"[0-9A-Fa-f]{16}")
 CLASS_NAME = re.compile(r"[ -~]{1,128}")
 
 Log = Callable[..., None]
@@ -114,12 +114,6 @@
     )
 
 
-def _release_cause(row: dict[str, Any]) -> int:
-    """The cause of a caller's release, of Q.850; that of normal clearing if it has no valid one."""
-    cause = row.get("cause")
-    return cause if isinstance(cause, int) and 0 < cause < 128 else NORMAL_CLEARING
-
-
 class JsonLeg:
     """The caller's side of one call; implements core.ports.CallerLeg."""
 
@@ -194,7 +188,7 @@
         self.gatekeeper, self.log, self.max_connections = gatekeeper, log, max_connections
         self.listening = listening
         # Sends a message to the other process, where two share the address.
-        self.send_to_other_process: Callable[..., None] | None = None
+        self.send_to_other_process: Callable[[Message], None] | None = None
         self.handed_over = False  # whether the other process accepts the callers now
         self.resumed_at = -math.inf  # when callers were last let in again; infinity while they are diverted
         self.idle_check_timer: asyncio.TimerHandle | None = None
@@ -331,21 +325,21 @@
 
     # Messages between two processes that share the address
 
-    def release_from_other_process(self, row: dict[str, Any]) -> None:
+    def release_from_other_process(self, release: CallerRelease) -> None:
         """A caller's release of a call of this process arrived at the other one."""
-        if leg := self.legs.get(row["id"]):
-            self._on_caller_left(leg, row["cause"])
+        if leg := self.legs.get(release.call_id):
+            self._on_caller_left(leg, release.cause)
 
-    def release_for_other_process(self, row: dict[str, Any]) -> None:
+    def release_for_other_process(self, end: CallEnd) -> None:
         """A call of the other process ended, and that process has no caller connection: release it from here."""
-        self._remember_ended(row["id"])
-        self.release_anywhere(row["id"], None, format_line("release", row["id"], cause=row["cause"]))
+        self._remember_ended(end.call_id)
+        self.release_anywhere(end.call_id, None, format_line("release", end.call_id, cause=end.cause))
 
     def forward_pending_releases(self) -> None:
         """Pass the pending releases to the other process, if it accepts the callers now."""
         while self.send_to_other_process and self.handed_over and self.pending:
             wire_id, release = self.pending.popitem()
-            self.send_to_other_process("release", id=wire_id, cause=json.loads(release.message)["cause"])
+            self.send_to_other_process(CallEnd(wire_id, json.loads(release.message)["cause"]))
 
     def release_anywhere(self, wire_id: str, link: Link | None, message: bytes) -> None:
         """Send a release on this connection if it is open, else on any other of a caller, else once one opens."""
@@ -557,7 +551,7 @@
         wire_id = row["id"]
         leg = self.legs.get(wire_id)
         if leg and row.get("type") == "release":
-            self._on_caller_left(leg, _release_cause(row))
+            self._on_caller_left(leg, cause_or_normal(row.get("cause")))
         elif leg and leg.call:
             leg.call.fail()
         elif row.get("type") == "setup":
@@ -617,8 +611,8 @@
         if leg is None:
             # A release that crossed ours is confirmed; one of a call that never existed gets an error.
             is_known = row["id"] in self.ended_ids
-            if not is_known and self.send_to_other_process and isinstance(row.get("cause"), int):
-                self.send_to_other_process("release", id=row["id"], cause=row["cause"])
+            if not is_known and self.send_to_other_process and CALL_ID.fullmatch(row["id"]):
+                self.send_to_other_process(CallerRelease(row["id"], cause_or_normal(row.get("cause"))))
                 is_known = True
             reply = (
                 format_line("released", row["id"])
@@ -628,7 +622,7 @@
             return link.write(reply)
         self.caller_links.add(link)
         link.write(format_line("released", leg.wire_id))
-        self._on_caller_left(leg, _release_cause(row))
+        self._on_caller_left(leg, cause_or_normal(row.get("cause")))
 
     def _on_caller_left(self, leg: JsonLeg, cause: int) -> None:
         if not leg.standing:
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -67,6 +67,32 @@
         assert (await last.next(last.set_up(1)))["type"] == "answer"
 
 
+@async_test
+async def test_a_bad_message_of_a_client_does_not_part_the_two_processes():
+    # Both took the other for gone, and the old process released its standing calls without telling their callers.
+    switch = Switch("s-1", 1)
+    async with World(switch) as world:
+        caller = await world.caller()
+        call = caller.set_up(1)
+        await caller.next(call, "answer")
+        old = await world.start_successor()
+        old.send_signal(signal.SIGTERM)
+        assert await caller.no_message_within(WAIT_TIMEOUT_S)  # closed
+        faulty, back = await world.caller(), await world.caller()
+        for cause in ("9" * 4200, "-1", "true", '"?"', "1e400"):
+            faulty.writer.write(
+                b'{"type":"release","id":"ffffffffffffffaa","fields":{},"cause":%s}\n' % cause.encode()
+            )
+        for _ in range(5):
+            assert (await faulty.next())["type"] in ("released", "release")
+        assert (await back.next(back.set_up(1)))["type"] == "answer"
+        assert await back.no_message_within(0.5)
+        assert switch.count("BYE") == 0 and old.returncode is None
+        assert not [line for line in world.log_lines if "has gone" in line]
+        switch.bye(call)
+        assert (await back.next(call))["type"] == "release"
+
+
 @pytest.mark.parametrize("replaced", [False, True])
 @async_test
 async def test_a_caller_that_is_back_with_nothing_to_send_hears_the_end_of_its_call(replaced):
