Pass a switch's release on to the process that holds the call

Cause: SipSwitch._on_bye (net/sip.py) confirmed and dropped the release of a call that it does not know. Ruled out: a late release (neither log has the end of the call at all), and the leases, which the old process's fresh connection keeps up.

Change: such a release goes to the other process at the address, if there is one, with the name of the switch, the kind of the end and the report, and ends the call there; both ways.

--- a/tansyspur/__main__.py
+++ b/tansyspur/__main__.py
@@ -31,7 +31,15 @@
 from tansyspur.net.channel import Channel
 from tansyspur.net.console import Console
 from tansyspur.net.handover import Handover, Partner
-from tansyspur.net.handover_messages import MAX_LINE_BYTES, CallEnd, CallerRelease, Message, Sender, Serving
+from tansyspur.net.handover_messages import (
+    MAX_LINE_BYTES,
+    CallEnd,
+    CallerRelease,
+    Message,
+    Sender,
+    Serving,
+    SwitchRelease,
+)
 from tansyspur.net.jsonlines import JsonLinesFront
 from tansyspur.net.peers import Peers, parse_address
 from tansyspur.net.sip import SipSwitch
@@ -123,9 +131,17 @@
             )
         self.sip_switches = [switch for switch in self.sip_switches if not switch.retired]
         metrics, dial_timeout_s = self.gatekeeper.metrics, self.config.dial_timeout_s
-        steady_since = self.discovery_steady_since
         self.sip_switches.append(
-            SipSwitch(name, address, on_report, self.log, dial_timeout_s, metrics, steady_since)
+            SipSwitch(
+                name,
+                address,
+                on_report,
+                self.log,
+                dial_timeout_s,
+                metrics,
+                self.discovery_steady_since,
+                self.send_to_other_process,
+            )
         )
         return self.sip_switches[-1]
 
@@ -271,9 +287,23 @@
             # its exit.
             await self.open_iax2(self.config.iax2)
 
+    def send_to_other_process(self, message: Message) -> None:
+        """Send a message to the process that shares the address, if there is one."""
+        other = self.handover and self.handover.successor or self.predecessor
+        if other:
+            other.send(message)
+
     def on_predecessor_message(self, message: Message) -> None:
         if isinstance(message, CallEnd):
             self.front.release_for_other_process(message)
+        elif isinstance(message, SwitchRelease):
+            self.on_switch_release(message)
+
+    def on_switch_release(self, release: SwitchRelease) -> None:
+        """A switch released a call of this process on a connection of the other one."""
+        for switch in self.sip_switches:
+            if switch.name == release.switch and not switch.retired:
+                switch.release_from_other_process(release)
 
     def on_successor_message(self, successor: Partner, message: Message) -> None:
         """Handle a message: the successor serves the callers from now on, or passes a release on."""
@@ -292,6 +322,8 @@
             self.front.forward_pending_releases()
         elif isinstance(message, CallerRelease):
             self.front.release_from_other_process(message)
+        elif isinstance(message, SwitchRelease):
+            self.on_switch_release(message)
 
     def on_successor_changed(self) -> None:
         self.front.set_connection_limit(self.max_connections())
--- a/tansyspur/net/handover_messages.py
+++ b/tansyspur/net/handover_messages.py
@@ -14,6 +14,8 @@
 from tansyspur.core.ports import cause_or_normal
 
 MAX_LINE_BYTES = 4096
+MAX_REPORT_CHARACTERS = 512
+MAX_NAME_CHARACTERS = 256
 CALL_ID = re.compile(r"[0-9A-Fa-f]{16}")
 
 
@@ -47,15 +49,27 @@
     cause: int  # Q.850
 
 
-Message = Serving | CallerRelease | CallEnd
+@dataclass(slots=True, frozen=True)
+class SwitchRelease:
+    """A switch released a call that the sender does not hold. The sender has confirmed it to the switch."""
+
+    call_id: str
+    switch: str  # name in the switch list
+    cut: bool  # released with another cause than normal clearing
+    report: str = ""  # X-Group of the release; empty if it had none
+
+
+Message = Serving | CallerRelease | CallEnd | SwitchRelease
 
 TYPES: dict[Sender, dict[str, type[Message]]] = {
     Sender.PREDECESSOR: {
         "release": CallEnd,
+        "switch_release": SwitchRelease,
     },
     Sender.SUCCESSOR: {
         "serving": Serving,
         "release": CallerRelease,
+        "switch_release": SwitchRelease,
     },
 }
 
@@ -89,11 +103,19 @@
             return {}
         case CallerRelease(call_id, cause) | CallEnd(call_id, cause):
             return {"id": call_id, "cause": cause}
+        case SwitchRelease(call_id, switch, cut, report):
+            return {"id": call_id, "switch": switch, "cut": cut, "report": report[:MAX_REPORT_CHARACTERS]}
 
 
 def _parse(message_type: type[Message], row: dict[str, Any]) -> Message:
     if message_type is CallerRelease or message_type is CallEnd:
         return message_type(_call_id(row.get("id")), cause_or_normal(row.get("cause")))
+    if message_type is SwitchRelease:
+        switch, report = (
+            _text(row, "switch", MAX_NAME_CHARACTERS),
+            _text(row, "report", MAX_REPORT_CHARACTERS),
+        )
+        return SwitchRelease(_call_id(row.get("id")), switch, row.get("cut") is True, report)
     return Serving()
 
 
@@ -101,3 +123,10 @@
     if not isinstance(value, str) or not CALL_ID.fullmatch(value):
         raise InvalidMessage("id: expected 16 hex digits")
     return value
+
+
+def _text(row: dict[str, Any], key: str, max_characters: int) -> str:
+    value = row.get(key, "")
+    if not isinstance(value, str) or len(value) > max_characters:
+        raise InvalidMessage(f"{key}: expected a text of at most {max_characters} characters")
+    return value
--- a/tansyspur/net/sip.py
+++ b/tansyspur/net/sip.py
@@ -26,6 +26,7 @@
     SwitchSignal,
 )
 from tansyspur.net.framing import Chunks, FramingError
+from tansyspur.net.handover_messages import CALL_ID, SwitchRelease
 from tansyspur.net.link import Link
 from tansyspur.net.releases import PendingReleases
 from tansyspur.net.response_limits import ResponseLimits
@@ -181,7 +182,8 @@
     """One carrier switch, reached over SIP at the address HOST:PORT; implements core.ports.Switch.
 
     on_report gets each load report that arrives in a NOTIFY. discovery_steady_since returns the loop time since which
-    discovery has been received without a gap, None if it is not received now.
+    discovery has been received without a gap, None if it is not received now. on_unknown_release gets the release of
+    each call that is not known here: it may be a call of another process at the same address.
     """
 
     uses_listed_address = True
@@ -195,8 +197,10 @@
         dial_timeout_s: float,
         metrics: Metrics,
         discovery_steady_since: Callable[[], float | None],
+        on_unknown_release: Callable[[SwitchRelease], None] | None = None,
     ) -> None:
         self.discovery_steady_since = discovery_steady_since
+        self.on_unknown_release = on_unknown_release
         self.name, self.on_report, self.log, self.metrics = name, on_report, log, metrics
         self.host, _, port = address.rpartition(":")
         self.port = int(port)
@@ -730,17 +734,28 @@
     def _on_bye(self, link: Link, message: Message) -> None:
         """The switch released a call. The same release may arrive twice."""
         run_contained(self.log, "sip", self._confirm, link, message, switch=self.name, call=message.call_id)
-        leg = self.legs.get(message.call_id)
+        cause_match = re.search(r"cause\s*=\s*([0-9]{1,3})", message.headers.get("reason", ""))
+        cut = cause_match is not None and int(cause_match.group(1)) != NORMAL_CLEARING
+        release = SwitchRelease(message.call_id, self.name, cut, message.headers.get("x-group", ""))
+        if message.call_id in self.legs:
+            self._on_release(release, link)
+        elif self.on_unknown_release and CALL_ID.fullmatch(message.call_id):
+            self.on_unknown_release(release)
+
+    def release_from_other_process(self, release: SwitchRelease) -> None:
+        """The switch released a call of this process on a connection of another process at the same address."""
+        self._on_release(release, None)
+
+    def _on_release(self, release: SwitchRelease, link: Link | None) -> None:
+        leg = self.legs.get(release.call_id)
         if leg is None or not leg.standing:
             return  # a repeated release, or it crossed our own
-        self.leases.call_released(leg.call_id, link)
+        if link:
+            self.leases.call_released(leg.call_id, link)
         self.forget(leg)
-        cause_match = re.search(r"cause\s*=\s*([0-9]{1,3})", message.headers.get("reason", ""))
-        cut = cause_match is not None and int(cause_match.group(1)) != 16
-        report = parse_group_header(message.headers.get("x-group", ""))
-        outcome = interface.Outcome.CUT if cut else interface.Outcome.ENDED
-        reason = EndReason.SWITCH_CUT if cut else EndReason.SWITCH_RELEASED
-        leg.notify(LegEnded(outcome, None, report, reason))
+        outcome = interface.Outcome.CUT if release.cut else interface.Outcome.ENDED
+        reason = EndReason.SWITCH_CUT if release.cut else EndReason.SWITCH_RELEASED
+        leg.notify(LegEnded(outcome, None, parse_group_header(release.report), reason))
 
     def _confirm(self, link: Link, message: Message) -> None:
         link.write(self._ok_response(message))
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -93,6 +93,33 @@
         assert (await back.next(call))["type"] == "release"
 
 
+@pytest.mark.parametrize("cause", [16, 41])
+@async_test
+async def test_a_switchs_release_reaches_the_process_that_holds_the_call(cause):
+    # A switch whose connection is lost releases on any open one, also the other process's, which dropped the release.
+    switch = Switch("s-1", 1)
+    async with World(switch) as world:
+        caller = await world.caller()
+        call_of_old = caller.set_up(1)
+        await caller.next(call_of_old, "answer")
+        old_links = list(switch.writers)
+        old = await world.start_successor()
+        new_links = [writer for writer in switch.writers if writer not in old_links]
+        old.send_signal(signal.SIGTERM)
+        assert await caller.no_message_within(WAIT_TIMEOUT_S)  # closed
+        back = await world.caller()
+        call_of_new = back.set_up(1)
+        await back.next(call_of_new, "answer")
+        keeper = back.set_up(1)  # keeps the connection of the caller in use
+        await back.next(keeper, "answer")
+        for call, link in ((call_of_new, old_links[0]), (call_of_old, new_links[0])):
+            switch.bye(call, cause, link)
+            assert (await back.next(call))["cause"] == cause
+            switch.bye(call, cause, link)  # a second time changes nothing
+        assert await back.no_message_within()
+        assert await wait_for_exit(old) == 0
+
+
 @pytest.mark.parametrize("replaced", [False, True])
 @async_test
 async def test_a_caller_that_is_back_with_nothing_to_send_hears_the_end_of_its_call(replaced):
