Pass a caller's release from the old process to the call in the new one

Cause: the message 'release' between the processes had two meanings, by direction; the old process sent it for a caller's release too, and the new one took it for the end of a call of the old process (on_predecessor_message in __main__.py).

Change: the old process sends CallerRelease under a name of its own on the wire; the new one ends its call.

--- a/tansyspur/__main__.py
+++ b/tansyspur/__main__.py
@@ -296,6 +296,8 @@
     def on_predecessor_message(self, message: Message) -> None:
         if isinstance(message, CallEnd):
             self.front.release_for_other_process(message)
+        elif isinstance(message, CallerRelease):
+            self.front.release_from_other_process(message)
         elif isinstance(message, SwitchRelease):
             self.on_switch_release(message)
 
--- a/tansyspur/net/handover_messages.py
+++ b/tansyspur/net/handover_messages.py
@@ -64,6 +64,7 @@
 TYPES: dict[Sender, dict[str, type[Message]]] = {
     Sender.PREDECESSOR: {
         "release": CallEnd,
+        "caller_release": CallerRelease,
         "switch_release": SwitchRelease,
     },
     Sender.SUCCESSOR: {
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -30,8 +30,9 @@
 SWITCH_RELEASES = st.builds(
     SwitchRelease, CALL_IDS, st.text(max_size=256), st.booleans(), st.text(max_size=512)
 )
-FROM_SUCCESSOR = st.one_of(st.just(Serving()), st.builds(CallerRelease, CALL_IDS, CAUSES), SWITCH_RELEASES)
-FROM_PREDECESSOR = st.one_of(st.builds(CallEnd, CALL_IDS, CAUSES), SWITCH_RELEASES)
+FROM_BOTH = st.one_of(st.builds(CallerRelease, CALL_IDS, CAUSES), SWITCH_RELEASES)
+FROM_SUCCESSOR = st.one_of(st.just(Serving()), FROM_BOTH)
+FROM_PREDECESSOR = st.one_of(st.builds(CallEnd, CALL_IDS, CAUSES), FROM_BOTH)
 UNUSABLE = [
     b"\n", b"[]\n", b"{\n", b"\xff\n", b'{"type":"release"}\n', b'{"type":"release","id":7,"cause":16}\n',
     b'{"type":"release","id":"00000000000000zz","cause":16}\n', b"9" * 5000 + b"\n", b"[" * 4000 + b"\n",
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -120,6 +120,31 @@
         assert await wait_for_exit(old) == 0
 
 
+@async_test
+async def test_a_callers_release_reaches_the_process_that_holds_the_call():
+    # On a connection of the old process the release of the new one's call was confirmed, and the call went on.
+    switch, slow = Switch("s-1", 1), Switch("s-2", 2, plan=["silent"])
+    async with World(switch, slow) as world:
+        first = await world.caller()
+        open_call = first.set_up(2, remaining_ms=9000)  # the old process keeps this connection
+        await slow.next("INVITE", open_call)
+        call_of_old = first.set_up(1)
+        await first.next(call_of_old, "answer")
+        old = await world.start_successor()
+        old.send_signal(signal.SIGTERM)
+        await world.wait_for_log("shutting down")
+        second = await world.caller()
+        call_of_new = second.set_up(1)
+        await second.next(call_of_new, "answer")
+        for caller, call in ((first, call_of_new), (second, call_of_old)):
+            caller.send("release", call, cause=31)
+            assert (await caller.next(call))["type"] == "released"
+            bye = await switch.next("BYE", call)
+            assert bye[2]["reason"] == "Q.850;cause=31"
+        assert switch.count("BYE") == 2
+        slow.handle_setup("486", open_call)
+
+
 @pytest.mark.parametrize("replaced", [False, True])
 @async_test
 async def test_a_caller_that_is_back_with_nothing_to_send_hears_the_end_of_its_call(replaced):
