Bound what callers' connections may hold open, unfinished and in one turn

Cause: no limit on open set-ups but 20,000 of all callers (core/gatekeeper.py), and each check of the queue goes through them; all messages of a read handled in one turn (Link.read_all, up to 400); refused_numbers of the policy without a limit; the stream reader's 128 KiB and a read of 256 KiB for each connection.

Change: net/open_set_ups.py counts open set-ups by connection and bytes; more are refused at once. A turn takes 1 ms. Input that waits, unfinished messages and the number of connections are bounded by the memory limit. 10,000 refused numbers.

--- a/tansyspur/__main__.py
+++ b/tansyspur/__main__.py
@@ -54,6 +54,8 @@
 MAX_COUNTED_DEADLINE_S = 3.0  # the platform counts a longer deadline as this one
 MAX_COUNTED_DEADLINE_REPLACED_S = 5.0  # or as this one, if another process takes over the callers
 CHANNEL_CATCH_UP_TIMEOUT_S = 4.0  # a new process must be ready within 6 s of its start
+CONNECTIONS_MEMORY_SHARE = 1 / 3  # of the memory limit, for the buffers of callers' connections
+MAX_CONNECTION_BYTES = 48 * 1024  # a message that is not complete, and what was read behind it
 FIRST_DIAL_TIMEOUT_S = 1.5  # an unreachable switch must not delay the gatekeeper's readiness for longer
 
 
@@ -107,7 +109,9 @@
                     *parse_address(config.peer_listen), socket.SOCK_DGRAM
                 )
             self.gatekeeper.messenger = self.peers
-        self.front = JsonLinesFront(self.gatekeeper, log, self.max_connections(), self.sockets["callers"])
+        self.front = JsonLinesFront(
+            self.gatekeeper, log, self.max_connections(), self.sockets["callers"], config.limits.memory_mb
+        )
         self.iax2_front = self.make_iax2_front(config.iax2) if config.iax2 else None
 
     def make_switch(
@@ -172,9 +176,16 @@
         )
 
     def max_connections(self) -> int:
-        """Limit of callers' connections. During a hand-over, both processes share one budget of file descriptors."""
+        """Limit of callers' connections. During a hand-over, both processes share one budget of file descriptors.
+
+        What the connections may hold of messages that are not complete or not handled must fit in the memory.
+        """
         shared = self.predecessor or self.handover and self.handover.successor
-        return self.config.limits.sockets * (3 if shared else 6) // 10
+        by_descriptors = self.config.limits.sockets * (3 if shared else 6) // 10
+        by_memory = int(
+            self.config.limits.memory_mb * 2**20 * CONNECTIONS_MEMORY_SHARE / MAX_CONNECTION_BYTES
+        )
+        return max(1, min(by_descriptors, by_memory))
 
     # Starting
 
--- a/tansyspur/core/gatekeeper.py
+++ b/tansyspur/core/gatekeeper.py
@@ -168,7 +168,7 @@
             self.log(
                 "warning", "overfull", "set-up refused on arrival: too many open calls", call=offer.wire_id
             )
-            self._refuse_on_arrival(offer, caller)
+            self.refuse_on_arrival(offer, caller)
             return None
         margin_ms = min(DEADLINE_MARGIN_MS, offer.remaining_ms / 10)
         now_ns = self.clock.now_ns()
@@ -187,9 +187,10 @@
             call=offer.wire_id,
             service=self.service_state,
         )
-        self._refuse_on_arrival(offer, caller)
+        self.refuse_on_arrival(offer, caller)
 
-    def _refuse_on_arrival(self, offer: Offer, caller: CallerLeg) -> None:
+    def refuse_on_arrival(self, offer: Offer, caller: CallerLeg) -> None:
+        """Refuse a call without a log line and without consulting the controller: trying again is harmless."""
         caller.refuse(ports.CONGESTION, self.settings.max_retry_after_ns // 1_000_000)
         self.metrics.count_setup_result(SetUpResult.BUSY, offer.class_name)
         self._record_rejected(offer, "refused")
@@ -470,6 +471,9 @@
                 self.consult(answered)
                 if call.caller.answer(result.description):
                     call.answered_ns = self.clock.now_ns()
+                    call.offer = replace(
+                        call.offer, description=""
+                    )  # may be large, and is not needed any more
                     self._count_result(call, SetUpResult.SUCCESS)
                     self._log_call(call, "stands", elapsed_ns)
                     return leg
--- a/tansyspur/net/channel_connections.py
+++ b/tansyspur/net/channel_connections.py
@@ -114,16 +114,17 @@
         link = attempt.link
         assert link is not None
 
-        def on_data(chunks: Chunks) -> bool:
-            lines_before = attempt.lines
-            while (line := chunks.take_line()) is not None:
-                attempt.lines += 1
-                if self.on_line(line):
-                    self._use(attempt)
-            return attempt.lines > lines_before
+        def take_line(chunks: Chunks) -> bool:
+            line = chunks.take_line()
+            if line is None:
+                return False
+            attempt.lines += 1
+            if self.on_line(line):
+                self._use(attempt)
+            return True
 
         try:
-            return await link.read_all(on_data)
+            return await link.read_all(take_line)
         except Exception as error:  # noqa: BLE001 - a malformed event must cost no more than a reconnect
             return repr(error)
 
--- a/tansyspur/net/framing.py
+++ b/tansyspur/net/framing.py
@@ -19,7 +19,7 @@
         self.view = memoryview(self.data)
 
     def feed(self, chunk: bytes) -> None:
-        # The unfinished part outlives its chunk, so it is copied here, and only here.
+        # The unfinished part outlives its chunk, so it is copied, here and in release_consumed().
         self.data = bytes(self.view) + chunk if len(self.view) else chunk
         self.view = memoryview(self.data)
 
@@ -34,6 +34,12 @@
         taken, self.view = self.view[:length], self.view[length:]
         return taken
 
+    def release_consumed(self) -> None:
+        """Let go of the consumed part of the buffer, which an idle connection would otherwise hold."""
+        if len(self.view) < len(self.data):
+            self.data = bytes(self.view)
+            self.view = memoryview(self.data)
+
     def take_line(self) -> memoryview | None:
         """Consume the next complete line and return it without its line end; None if it has not arrived.
 
--- a/tansyspur/net/jsonlines.py
+++ b/tansyspur/net/jsonlines.py
@@ -10,6 +10,7 @@
 import math
 import re
 import socket
+import sys
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from functools import partial
@@ -22,7 +23,8 @@
 from tansyspur.core.ports import INVALID_ELEMENT, NORMAL_CLEARING, TEMPORARY_FAILURE, Offer, cause_or_normal
 from tansyspur.net.framing import Chunks, FramingError
 from tansyspur.net.handover_messages import CALL_ID, CallEnd, CallerRelease, Message
-from tansyspur.net.link import Link
+from tansyspur.net.link import READ_BYTES, Link
+from tansyspur.net.open_set_ups import OpenSetUps, PartialMessages
 
 INVALID_REFERENCE = 81  # Q.850: a release of no call
 FIRST_MESSAGE_TIMEOUT_S = 2.5  # a connection without a valid message by then is closed
@@ -31,6 +33,11 @@
 NEW_CONNECTION_GRACE_S = 0.3  # a connection as new as this may still bring its first set-up
 MAX_ENDED_IDS = 4096  # remembered ids of ended calls, as releases of both sides may cross
 MAX_ACCEPTED_AT_ONCE, BACKLOG = 16, 512
+MAX_UNSENT_WHILE_READING_BYTES = 8 * 1024  # a caller that does not read its answers is not read either
+RECEIVE_BUFFER_BYTES = 16 * 1024  # of the kernel for each connection; Linux takes twice as much
+DEFAULT_MEMORY_MB = 192
+# The shares of the memory limit that open set-ups, and messages that are not complete, may take.
+OPEN_SET_UPS_SHARE, PARTIAL_MESSAGES_SHARE = 1 / 8, 1 / 16
 # The platform's front pings every 0.1 s, and brings new connections until 0.2 s after a negative pong.
 PLATFORM_FRONT_REROUTE_S = 0.5
 # After a PAUSE one connection of a caller stays open for this long, as releases are due within a second. All are closed
@@ -130,6 +137,7 @@
         if self.link.closed or self.wire_id not in self.front.legs:
             return False
         self.standing = True
+        self.front.open_set_ups.remove(self.wire_id)
         self.link.write(format_line("answer", self.wire_id, sdp=description))
         if self.link.closed:  # the write aborted a stalled connection: no answer, so no release is needed
             self.front.forget(self)
@@ -178,11 +186,17 @@
 class JsonLinesFront:
     """Accepts up to max_connections callers on a listening socket, and offers their calls to the gatekeeper.
 
+    memory_mb is the memory limit of the process, in MiB.
     Where two processes share the address during a hand-over, messages for calls of the other process are passed to it.
     """
 
     def __init__(
-        self, gatekeeper: Gatekeeper, log: Log, max_connections: int, listening: socket.socket
+        self,
+        gatekeeper: Gatekeeper,
+        log: Log,
+        max_connections: int,
+        listening: socket.socket,
+        memory_mb: int = DEFAULT_MEMORY_MB,
     ) -> None:
         gatekeeper.pause_listeners.append(self.on_pause)
         self.gatekeeper, self.log, self.max_connections = gatekeeper, log, max_connections
@@ -199,6 +213,11 @@
         self.kept_link: Link | None = None
         self.keep_until = -math.inf
         self.legs: dict[str, JsonLeg] = {}
+        self.open_set_ups = OpenSetUps(int(memory_mb * 2**20 * OPEN_SET_UPS_SHARE))
+        self.partial_messages = PartialMessages(int(memory_mb * 2**20 * PARTIAL_MESSAGES_SHARE))
+        self.refusing_links: set[Link] = (
+            set()
+        )  # connections of which a set-up was refused as beyond the limits
         self.links: set[Link] = set()
         self.delivery_timers: dict[Link, asyncio.TimerHandle] = {}  # of connections not identified yet
         self.caller_links: set[Link] = set()  # connections that have sent a set-up, or the release of a call
@@ -220,8 +239,11 @@
         # Too many would exhaust the descriptors, and then it accepts none for a second. The queue of the kernel may be
         # longer: listen() sets its length before anything else runs.
         asyncio.get_running_loop().call_soon(self.listening.listen, BACKLOG)
+        # The loop reads all that the kernel holds of a connection at once, and keeps it until its turn comes.
+        with contextlib.suppress(OSError):
+            self.listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         self.server = await asyncio.start_server(
-            self._on_connection, sock=self.listening.dup(), backlog=MAX_ACCEPTED_AT_ONCE
+            self._on_connection, sock=self.listening.dup(), backlog=MAX_ACCEPTED_AT_ONCE, limit=READ_BYTES
         )
 
     def stop_accepting(self) -> None:
@@ -425,6 +447,7 @@
             writer.transport.abort()
             return
         link = Link(reader, writer)
+        link.max_unsent_while_reading = MAX_UNSENT_WHILE_READING_BYTES
         self.links.add(link)
         self.delivery_timers[link] = link.loop.call_later(
             PENDING_DELIVERY_DELAY_S, self._deliver_pending, link
@@ -438,17 +461,19 @@
             f"no valid message within {FIRST_MESSAGE_TIMEOUT_S:g} s",
         )
 
-        def on_data(chunks: Chunks) -> bool:
-            any_taken = False
-            while not link.closed and (raw_line := chunks.take_line()) is not None:
-                self._on_message(link, raw_line)
-                first_message_timer.cancel()
-                any_taken = True
-            return any_taken
+        def take_message(chunks: Chunks) -> bool:
+            raw_line = chunks.take_line()
+            if raw_line is None:
+                self._limit_partial_messages(link, len(chunks.view))
+                return False
+            self._on_message(link, raw_line)
+            first_message_timer.cancel()
+            return True
 
         try:
             how_ended = await link.read_all(
-                on_data,
+                take_message,
+                None,
                 PARTIAL_MESSAGE_TIMEOUT_S,
                 lambda: self._drop_link(link, f"message not complete within {PARTIAL_MESSAGE_TIMEOUT_S:g} s"),
             )
@@ -466,6 +491,8 @@
             self.links.discard(link)
             self.caller_links.discard(link)
             self.pinging_links.discard(link)
+            self.refusing_links.discard(link)
+            self.partial_messages.remove(link)
             for leg in [leg for leg in self.legs.values() if leg.link is link and not leg.standing]:
                 self._on_caller_left(leg, NORMAL_CLEARING)
             # The caller may have closed before it read a release: send it once more.
@@ -474,6 +501,12 @@
                     del self.unconfirmed[wire_id]
                     self.release_anywhere(wire_id, link, message)
 
+    def _limit_partial_messages(self, link: Link, partial_bytes: int) -> None:
+        excess = self.partial_messages.set(link, partial_bytes)
+        if isinstance(excess, Link):
+            self.partial_messages.remove(excess)
+            self._drop_link(excess, "too many bytes of messages that are not complete")
+
     def _drop_link(self, link: Link, reason: str) -> None:
         if link.closed:
             return
@@ -519,6 +552,7 @@
     def forget(self, leg: JsonLeg) -> None:
         """Remove an ended call. Does nothing if it was removed before."""
         if self.legs.get(leg.wire_id) is leg:
+            self.open_set_ups.remove(leg.wire_id)
             del self.legs[leg.wire_id]
             self._remember_ended(leg.wire_id)
 
@@ -556,6 +590,7 @@
             leg.call.fail()
         elif row.get("type") == "setup":
             self.legs.pop(wire_id, None)
+            self.open_set_ups.remove(wire_id)
             self._remember_ended(wire_id)
             link.write(format_line("release", wire_id, cause=TEMPORARY_FAILURE))
         elif row.get("type") == "release":
@@ -604,8 +639,20 @@
         leg = self.legs[wire_id] = JsonLeg(self, link, wire_id)
         if link in self._links_to_keep():
             return self.gatekeeper.reject(offer, leg)
+        if not self.open_set_ups.add(link, wire_id, sys.getsizeof(offer.description)):
+            self._log_refusing(link)
+            return self.gatekeeper.refuse_on_arrival(offer, leg)
         leg.call = self.gatekeeper.offer(offer, leg)
 
+    def _log_refusing(self, link: Link) -> None:
+        """Log once for each connection that its set-ups are refused: there may be thousands a second."""
+        if link not in self.refusing_links:
+            self.refusing_links.add(link)
+            open_count = self.open_set_ups.count(link)
+            self.log(
+                "warning", "front", "too many open set-ups; refusing more", link=link.number, open=open_count
+            )
+
     def _on_release(self, link: Link, row: dict[str, Any]) -> None:
         leg = self.legs.get(row["id"])
         if leg is None:
--- a/tansyspur/net/link.py
+++ b/tansyspur/net/link.py
@@ -13,6 +13,7 @@
 from tansyspur.net.framing import MAX_MESSAGE_BYTES, Chunks
 
 READ_BYTES = 16 * 1024  # read from one connection before the others get their turn
+TURN_S = 0.001  # of one connection's messages, before the others get their turn
 SEND_BUFFER_BYTES = 8 * 1024  # of the kernel; limits what waits there for a stalled peer
 MAX_UNSENT_BYTES = 256 * 1024
 STALL_TIMEOUT_S = 0.5  # bytes unsent for this long show that the other side does not read
@@ -23,8 +24,8 @@
 class Link:
     """A connection with its unconsumed chunks.
 
-    read_all() passes received bytes to a callback, which consumes complete messages. write() never waits: a connection
-    that does not send its bytes within STALL_TIMEOUT_S, or holds more than MAX_UNSENT_BYTES, is aborted.
+    read_all() passes received bytes to a callback, which consumes one complete message at a time. write() never waits:
+    a connection that does not send its bytes within STALL_TIMEOUT_S, or holds more than MAX_UNSENT_BYTES, is aborted.
     """
 
     _numbers = itertools.count(1)
@@ -38,6 +39,8 @@
         self.reader, self.writer = reader, writer
         self.number = next(self._numbers)  # identifies the connection in the log
         self.chunks = Chunks(max_message_bytes)
+        # With more bytes unsent, no further message is handled: its answer would have to wait here too.
+        self.max_unsent_while_reading: float = math.inf
         self.loop = asyncio.get_running_loop()
         self.closed = False
         self.received_at = self.opened_at = self.loop.time()
@@ -50,30 +53,39 @@
 
     async def read_all(
         self,
-        on_data: Callable[[Chunks], bool],
+        take_message: Callable[[Chunks], bool],
+        on_received: Callable[[], None] | None = None,
         incomplete_timeout_s: float = math.inf,
         on_incomplete: Callable[[], None] | None = None,
     ) -> str:
         """Read until the connection ends, and return how it ended: "closed" or the text of the system error.
 
-        on_data consumes complete messages from the chunks and returns whether there were any; a FramingError that it
-        raises goes through to the caller. on_incomplete(), if given, is called when a message has begun and is not
-        complete within incomplete_timeout_s: where a length is wrong, all that follows would be taken for a part of
-        that message.
+        take_message consumes and handles one message, and returns whether a complete one was there; a FramingError that
+        it raises goes through to the caller. on_received(), if given, is called after each read, before its messages
+        are handled. on_incomplete(), if given, is called when a message has begun and is not complete within
+        incomplete_timeout_s: where a length is wrong, all that follows would be taken for a part of that message.
         """
         incomplete_timer: asyncio.TimerHandle | None = None
+        incomplete_since = math.inf
         try:
             while chunk := await self.reader.read(READ_BYTES):
                 self.received_at = self.loop.time()
                 if self.closed:
                     continue  # closing: only discard
                 self.chunks.feed(chunk)
-                taken = on_data(self.chunks)
-                if incomplete_timer and (taken or not self.chunks.view):
-                    incomplete_timer.cancel()
+                if on_received:
+                    on_received()
+                if incomplete_timer:
+                    incomplete_timer.cancel()  # the time of this connection's own turn does not count
                     incomplete_timer = None
-                if self.chunks.view and on_incomplete and not incomplete_timer:
-                    incomplete_timer = self.loop.call_later(incomplete_timeout_s, on_incomplete)
+                if await self._take_messages(take_message) or math.isinf(incomplete_since):
+                    incomplete_since = self.loop.time()
+                self.chunks.release_consumed()
+                if not self.chunks.view:
+                    incomplete_since = math.inf
+                elif on_incomplete and not self.closed:
+                    due = incomplete_since + incomplete_timeout_s
+                    incomplete_timer = self.loop.call_at(due, on_incomplete)
                 if len(chunk) == READ_BYTES:
                     # A read of bytes that are available never waits: without this a flooding connection would
                     # block all others.
@@ -85,6 +97,22 @@
                 incomplete_timer.cancel()
         return "closed"
 
+    async def _take_messages(self, take_message: Callable[[Chunks], bool]) -> bool:
+        """Handle the complete messages; returns whether there were any.
+
+        Yields to the other connections after each TURN_S: one read may hold hundreds of messages.
+        """
+        any_taken = False
+        turn_ends_at = self.loop.time() + TURN_S
+        while not self.closed and take_message(self.chunks):
+            any_taken = True
+            if self.unsent > self.max_unsent_while_reading:
+                await self.writer.drain()  # ends at the latest when the stalled connection is aborted
+            if self.loop.time() > turn_ends_at:
+                await asyncio.sleep(0)
+                turn_ends_at = self.loop.time() + TURN_S
+        return any_taken
+
     async def close_gracefully(self) -> None:
         """Send what is written, then discard incoming bytes for LINGER_S at most.
 
--- a/tansyspur/net/sip.py
+++ b/tansyspur/net/sip.py
@@ -11,6 +11,7 @@
 import re
 import time
 from collections.abc import Callable
+from dataclasses import replace
 
 from tansyspur import interface
 from tansyspur.core.error_boundary import log_error, run_contained
@@ -144,6 +145,10 @@
         self.link, self.sent_at, self.sent_ns = link, self.switch.loop.time(), time.time_ns()
         link.write(invite, self.on_written)
 
+    def drop_description(self) -> None:
+        """The description may be large, and is not needed once the set-up is answered."""
+        self.request = replace(self.request, offer=replace(self.request.offer, description=""))
+
     def fail_no_route(self) -> None:
         self.switch.forget(self)
         self.notify(LegEnded(interface.Outcome.NO_ROUTE, reason=EndReason.NO_CONNECTION))
@@ -532,15 +537,18 @@
         any_message = incomplete = False
         partial_message_timeout_s = self.limits.partial_message_timeout_s
 
-        def on_data(chunks: Chunks) -> bool:
-            nonlocal any_message
+        def on_received() -> None:
             self.leases.received(link, link.received_at)
             self.pending_releases.confirm(link)
-            any_taken = False
-            while not link.closed and (message := parse_message(chunks)):
-                any_taken = any_message = True
-                self._on_message_contained(link, message)
-            return any_taken
+
+        def take_message(chunks: Chunks) -> bool:
+            nonlocal any_message
+            message = parse_message(chunks)
+            if message is None:
+                return False
+            any_message = True
+            self._on_message_contained(link, message)
+            return True
 
         def on_incomplete() -> None:
             nonlocal error_text, incomplete
@@ -549,7 +557,9 @@
             link.abort()
 
         try:
-            how_ended = await link.read_all(on_data, partial_message_timeout_s, on_incomplete)
+            how_ended = await link.read_all(
+                take_message, on_received, partial_message_timeout_s, on_incomplete
+            )
             if not self.retired and not error_text:
                 self.log(
                     "notice", "sip", f"connection ended: {how_ended}", switch=self.name, link=link.number
@@ -722,6 +732,7 @@
             return
         if status < 300:
             leg.standing = True
+            leg.drop_description()
             self.leases.call_answered(leg.call_id, link, link.received_at)
             self._arm_lease_timer()
             return leg.notify(Answered(media_description))
--- a/tansyspur/policy.py
+++ b/tansyspur/policy.py
@@ -45,6 +45,10 @@
 REPORT_TIMER, LIST_TIMER, QUEUE_TIMER = 0, 1, 2  # timer tokens
 QUEUE_CHECK_TICKS = 10  # between checks of all queued calls; a change of a group checks its own at once
 
+MAX_REFUSED_NUMBERS = (
+    10_000  # remembered at a time, the oldest are forgotten first: one caller can call ever new ones
+)
+
 # Congestion window: set-ups outstanding at one switch, and through the own processor
 INITIAL_WINDOW, INITIAL_OWN_WINDOW, MAX_WINDOW = 2.0, 8.0, 32.0
 WINDOW_DECREASE_FACTOR = 0.7  # applied to the window on a slow answer
@@ -454,6 +458,8 @@
         self._remove_call(call_id)
         if call.offer.called_number and not call.offer.in_transit:
             self.refused_numbers[call.offer.called_number] = call.offered_ns
+            if len(self.refused_numbers) > MAX_REFUSED_NUMBERS:
+                del self.refused_numbers[next(iter(self.refused_numbers))]
         refusable = call.call_class.effect is Effect.REPEATABLE or not call.outcome_unknown
         advised = not call.outcome_unknown and not call.offer.in_transit
         retry_after_ns = self._retry_after_ns(call) if advised else 0
