Serve no set-up of a caller that has left, and no id twice

Cause: the end of a connection is read behind what was sent before it (JsonLinesFront._on_connection); one table of 4,096 ended ids, which any client's unsound set-ups fill; two processes at one address did not share theirs. Ruled out: reset connections, whose unread bytes are dropped at once.

Change: a set-up is neither taken nor sent when the kernel has the caller's connection as closed by the other side. Ids of calls that may have reached a switch are remembered apart, for 20 s at least, and passed to the other process (TakenIds).

--- a/tansyspur/__main__.py
+++ b/tansyspur/__main__.py
@@ -39,6 +39,7 @@
     Sender,
     Serving,
     SwitchRelease,
+    TakenIds,
 )
 from tansyspur.net.jsonlines import JsonLinesFront
 from tansyspur.net.peers import Peers, parse_address
@@ -112,6 +113,7 @@
         self.front = JsonLinesFront(
             self.gatekeeper, log, self.max_connections(), self.sockets["callers"], config.limits.memory_mb
         )
+        self.front.share_taken_ids = self.send_to_other_process
         self.iax2_front = self.make_iax2_front(config.iax2) if config.iax2 else None
 
     def make_switch(
@@ -312,6 +314,9 @@
         elif isinstance(message, SwitchRelease):
             self.on_switch_release(message)
 
+        elif isinstance(message, TakenIds):
+            self.front.take_ids_of_other_process(message)
+
     def on_switch_release(self, release: SwitchRelease) -> None:
         """A switch released a call of this process on a connection of the other one."""
         for switch in self.sip_switches:
@@ -337,9 +342,14 @@
             self.front.release_from_other_process(message)
         elif isinstance(message, SwitchRelease):
             self.on_switch_release(message)
+        elif isinstance(message, TakenIds):
+            self.front.take_ids_of_other_process(message)
 
     def on_successor_changed(self) -> None:
         self.front.set_connection_limit(self.max_connections())
+        if self.handover and self.handover.successor:
+            for message in self.front.all_taken_ids():
+                self.handover.successor.send(message)
         if self.handover and not self.handover.successor and self.front.handed_over:
             # The successor exited, either before this process was stopped or while it finishes its calls.
             self.front.send_to_other_process, self.front.handed_over = None, False
--- a/tansyspur/core/gatekeeper.py
+++ b/tansyspur/core/gatekeeper.py
@@ -544,6 +544,8 @@
                 self.settings, call.offer, call.attempts, call.next_attempt_ns, until_ns, decided_listing, decided_ns,
                 self.listings.get(name), self.clock.now_ns(),
             )  # fmt: skip
+            if objection is None and call.caller.has_left:
+                return False
             if objection:
                 self.log("warning", "guard", objection, call=call.offer.wire_id, switch=name)
             return objection is None
--- a/tansyspur/core/ports.py
+++ b/tansyspur/core/ports.py
@@ -124,6 +124,10 @@
     Causes are of Q.850. A retry_after_ms of 0 gives the caller no time for its next try.
     """
 
+    @property
+    def has_left(self) -> bool:
+        """Whether the caller is known to wait no longer, though its leaving has not been reported to the call yet."""
+
     def answer(self, description: str) -> bool:
         """Pass the answer on. Returns False if the caller can no longer be reached."""
 
--- a/tansyspur/iax2/front.py
+++ b/tansyspur/iax2/front.py
@@ -126,6 +126,10 @@
         self.timer: asyncio.TimerHandle | None = None
         self.answered = False
 
+    @property
+    def has_left(self) -> bool:
+        return False  # its HANGUP is handled as it arrives
+
     # Events from the caller
 
     def on_frame(self, leg: Leg, frame: FullFrame, elements: dict[int, bytes]) -> None:
--- a/tansyspur/net/handover_messages.py
+++ b/tansyspur/net/handover_messages.py
@@ -14,6 +14,7 @@
 from tansyspur.core.ports import cause_or_normal
 
 MAX_LINE_BYTES = 4096
+MAX_IDS_PER_LINE = 150
 MAX_REPORT_CHARACTERS = 512
 MAX_NAME_CHARACTERS = 256
 CALL_ID = re.compile(r"[0-9A-Fa-f]{16}")
@@ -59,18 +60,27 @@
     report: str = ""  # X-Group of the release; empty if it had none
 
 
-Message = Serving | CallerRelease | CallEnd | SwitchRelease
+@dataclass(slots=True, frozen=True)
+class TakenIds:
+    """The sender has taken set-ups under these ids, and may have served them: they must not be served again."""
+
+    call_ids: tuple[str, ...]
+
+
+Message = Serving | CallerRelease | CallEnd | SwitchRelease | TakenIds
 
 TYPES: dict[Sender, dict[str, type[Message]]] = {
     Sender.PREDECESSOR: {
         "release": CallEnd,
         "caller_release": CallerRelease,
         "switch_release": SwitchRelease,
+        "taken_ids": TakenIds,
     },
     Sender.SUCCESSOR: {
         "serving": Serving,
         "release": CallerRelease,
         "switch_release": SwitchRelease,
+        "taken_ids": TakenIds,
     },
 }
 
@@ -98,6 +108,12 @@
     return message_type and _parse(message_type, row)
 
 
+def taken_ids(call_ids: list[str]) -> list[TakenIds]:
+    """Return the ids in as many messages as are needed for the limit on lines."""
+    starts = range(0, len(call_ids), MAX_IDS_PER_LINE)
+    return [TakenIds(tuple(call_ids[start : start + MAX_IDS_PER_LINE])) for start in starts]
+
+
 def _members(message: Message) -> dict[str, Any]:
     match message:
         case Serving():
@@ -106,6 +122,8 @@
             return {"id": call_id, "cause": cause}
         case SwitchRelease(call_id, switch, cut, report):
             return {"id": call_id, "switch": switch, "cut": cut, "report": report[:MAX_REPORT_CHARACTERS]}
+        case TakenIds(call_ids):
+            return {"ids": list(call_ids)}
 
 
 def _parse(message_type: type[Message], row: dict[str, Any]) -> Message:
@@ -117,6 +135,11 @@
             _text(row, "report", MAX_REPORT_CHARACTERS),
         )
         return SwitchRelease(_call_id(row.get("id")), switch, row.get("cut") is True, report)
+    if message_type is TakenIds:
+        call_ids = row.get("ids")
+        if not isinstance(call_ids, list):
+            raise InvalidMessage("ids: expected a list")
+        return TakenIds(tuple(_call_id(call_id) for call_id in call_ids))
     return Serving()
 
 
--- a/tansyspur/net/jsonlines.py
+++ b/tansyspur/net/jsonlines.py
@@ -22,16 +22,19 @@
 from tansyspur.core.metrics import Delivery, SetUpResult
 from tansyspur.core.ports import INVALID_ELEMENT, NORMAL_CLEARING, TEMPORARY_FAILURE, Offer, cause_or_normal
 from tansyspur.net.framing import Chunks, FramingError
-from tansyspur.net.handover_messages import CALL_ID, CallEnd, CallerRelease, Message
+from tansyspur.net.handover_messages import CALL_ID, CallEnd, CallerRelease, Message, TakenIds, taken_ids
 from tansyspur.net.link import READ_BYTES, Link
 from tansyspur.net.open_set_ups import OpenSetUps, PartialMessages
+from tansyspur.net.recent_ids import RecentIds
 
 INVALID_REFERENCE = 81  # Q.850: a release of no call
 FIRST_MESSAGE_TIMEOUT_S = 2.5  # a connection without a valid message by then is closed
 PARTIAL_MESSAGE_TIMEOUT_S = 2.0  # a message that is not complete by then closes its connection
 PENDING_DELIVERY_DELAY_S = 0.05  # a connection of the platform's front has sent its ping by then
 NEW_CONNECTION_GRACE_S = 0.3  # a connection as new as this may still bring its first set-up
-MAX_ENDED_IDS = 4096  # remembered ids of ended calls, as releases of both sides may cross
+# Ids of calls that may have reached a switch: within the longest deadline their callers may send them again.
+SERVED_IDS_LIFETIME_S, MAX_SERVED_IDS = 20.0, 20_000
+MAX_REFUSED_IDS = 4096  # of set-ups that no switch can have seen
 MAX_ACCEPTED_AT_ONCE, BACKLOG = 16, 512
 MAX_UNSENT_WHILE_READING_BYTES = 8 * 1024  # a caller that does not read its answers is not read either
 RECEIVE_BUFFER_BYTES = 16 * 1024  # of the kernel for each connection; Linux takes twice as much
@@ -133,6 +136,10 @@
     def _is_open(self) -> bool:
         return self.front.legs.get(self.wire_id) is self
 
+    @property
+    def has_left(self) -> bool:
+        return not self.standing and self.link.peer_has_closed
+
     def answer(self, description: str) -> bool:
         if self.link.closed or self.wire_id not in self.front.legs:
             return False
@@ -222,7 +229,13 @@
         self.delivery_timers: dict[Link, asyncio.TimerHandle] = {}  # of connections not identified yet
         self.caller_links: set[Link] = set()  # connections that have sent a set-up, or the release of a call
         self.pinging_links: set[Link] = set()  # connections that have sent a ping
-        self.ended_ids: dict[str, None] = {}  # ids of ended calls, oldest first
+        # Ids of ended calls: of those that may have been served, of the others, and of the other process's.
+        self.served_ids = RecentIds(SERVED_IDS_LIFETIME_S, MAX_SERVED_IDS)
+        self.refused_ids = RecentIds(SERVED_IDS_LIFETIME_S, MAX_REFUSED_IDS)
+        self.ids_of_other_process = RecentIds(SERVED_IDS_LIFETIME_S, MAX_SERVED_IDS)
+        self.share_taken_ids: Callable[[Message], None] = (
+            lambda message: None
+        )  # with the other process, if any
         self.pending: dict[str, PendingRelease] = {}  # releases not yet sent to a caller, oldest first
         self.unconfirmed: dict[str, tuple[float, Link, bytes]] = {}  # releases written recently, by id
         self.server: asyncio.Server | None = None
@@ -354,9 +367,18 @@
 
     def release_for_other_process(self, end: CallEnd) -> None:
         """A call of the other process ended, and that process has no caller connection: release it from here."""
-        self._remember_ended(end.call_id)
+        self._remember(self.served_ids, end.call_id)
         self.release_anywhere(end.call_id, None, format_line("release", end.call_id, cause=end.cause))
 
+    def take_ids_of_other_process(self, message: TakenIds) -> None:
+        """The other process has taken set-ups with these ids."""
+        for call_id in message.call_ids:
+            self._remember(self.ids_of_other_process, call_id)
+
+    def all_taken_ids(self) -> list[TakenIds]:
+        """The ids that a process which takes over must not serve again."""
+        return taken_ids([*self.legs, *self.served_ids, *self.ids_of_other_process])
+
     def forward_pending_releases(self) -> None:
         """Pass the pending releases to the other process, if it accepts the callers now."""
         while self.send_to_other_process and self.handed_over and self.pending:
@@ -554,12 +576,18 @@
         if self.legs.get(leg.wire_id) is leg:
             self.open_set_ups.remove(leg.wire_id)
             del self.legs[leg.wire_id]
-            self._remember_ended(leg.wire_id)
+            was_sent = leg.call is not None and leg.call.attempts > 0
+            self._remember(self.served_ids if was_sent else self.refused_ids, leg.wire_id)
+
+    def _remember(self, ids: RecentIds, wire_id: str) -> None:
+        ids.add(wire_id, asyncio.get_running_loop().time())
+
+    def _is_ended(self, wire_id: str) -> bool:
+        return wire_id in self.served_ids or wire_id in self.refused_ids
 
-    def _remember_ended(self, wire_id: str) -> None:
-        self.ended_ids[wire_id] = None
-        if len(self.ended_ids) > MAX_ENDED_IDS:
-            del self.ended_ids[next(iter(self.ended_ids))]
+    def _is_taken(self, wire_id: str) -> bool:
+        """Whether a set-up with this id has been taken, here or by the other process at the address."""
+        return wire_id in self.legs or self._is_ended(wire_id) or wire_id in self.ids_of_other_process
 
     def _on_message(self, link: Link, raw_line: memoryview) -> None:
         """Handle one line. An internal error ends the call that the line belongs to, and not the connection.
@@ -591,7 +619,7 @@
         elif row.get("type") == "setup":
             self.legs.pop(wire_id, None)
             self.open_set_ups.remove(wire_id)
-            self._remember_ended(wire_id)
+            self._remember(self.served_ids, wire_id)
             link.write(format_line("release", wire_id, cause=TEMPORARY_FAILURE))
         elif row.get("type") == "release":
             link.write(format_line("released", wire_id))
@@ -618,8 +646,10 @@
         wire_id = row["id"]
         # Without this, two calls could be answered under one id. The first call keeps it; the connection that brought
         # the second one is closed.
-        if wire_id in self.legs or wire_id in self.ended_ids or not CALL_ID.fullmatch(wire_id):
+        if self._is_taken(wire_id) or not CALL_ID.fullmatch(wire_id):
             raise FramingError("set-up with an id that is in use or malformed")
+        if link.peer_has_closed:
+            return  # its caller has left already: nobody waits for an answer
         try:
             offer = parse_offer(row)
         except InvalidSetUp as error:
@@ -629,7 +659,7 @@
                 f"set-up with an invalid value of {error}; releasing it with cause {INVALID_ELEMENT}",
                 call=wire_id,
             )
-            self._remember_ended(wire_id)
+            self._remember(self.refused_ids, wire_id)
             fields = row.get("fields")
             class_name = fields.get("class") if isinstance(fields, dict) else None
             self.gatekeeper.metrics.count_setup_result(SetUpResult.FAILURE, str(class_name))
@@ -637,6 +667,7 @@
         self.caller_links.add(link)
         self._deliver_pending(link)
         leg = self.legs[wire_id] = JsonLeg(self, link, wire_id)
+        self.share_taken_ids(TakenIds((wire_id,)))
         if link in self._links_to_keep():
             return self.gatekeeper.reject(offer, leg)
         if not self.open_set_ups.add(link, wire_id, sys.getsizeof(offer.description)):
@@ -657,7 +688,7 @@
         leg = self.legs.get(row["id"])
         if leg is None:
             # A release that crossed ours is confirmed; one of a call that never existed gets an error.
-            is_known = row["id"] in self.ended_ids
+            is_known = self._is_ended(row["id"])
             if not is_known and self.send_to_other_process and CALL_ID.fullmatch(row["id"]):
                 self.send_to_other_process(CallerRelease(row["id"], cause_or_normal(row.get("cause"))))
                 is_known = True
--- a/tansyspur/net/link.py
+++ b/tansyspur/net/link.py
@@ -15,6 +15,7 @@
 READ_BYTES = 16 * 1024  # read from one connection before the others get their turn
 TURN_S = 0.001  # of one connection's messages, before the others get their turn
 SEND_BUFFER_BYTES = 8 * 1024  # of the kernel; limits what waits there for a stalled peer
+TCP_CLOSE_WAIT = 8  # of Linux, include/net/tcp_states.h
 MAX_UNSENT_BYTES = 256 * 1024
 STALL_TIMEOUT_S = 0.5  # bytes unsent for this long show that the other side does not read
 # how long and how much is read and discarded after the final message
@@ -144,6 +145,14 @@
         """Whether the first part of a message has been received and the rest has not."""
         return bool(self.chunks.view)
 
+    @property
+    def peer_has_closed(self) -> bool:
+        """Whether the other side has closed the connection. What it sent before may be unread still."""
+        with contextlib.suppress(OSError, ValueError):  # the socket is closed, or is none of TCP
+            info = self.writer.get_extra_info("socket").getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
+            return info[0] == TCP_CLOSE_WAIT
+        return False
+
     @property
     def unread(self) -> int:
         """Bytes that have arrived in the kernel and are not read yet."""
--- a/tests/test_call_deadline.py
+++ b/tests/test_call_deadline.py
@@ -25,6 +25,8 @@
         self.answers.put_nowait(("answer", description))
         return True
 
+    has_left = False
+
     def refuse(self, cause, retry_after_ms):
         self.answers.put_nowait(("refuse", retry_after_ms))
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -12,6 +12,7 @@
 
 from tansyspur.net.handover import Partner
 from tansyspur.net.handover_messages import (
+    MAX_IDS_PER_LINE,
     MAX_LINE_BYTES,
     CallEnd,
     CallerRelease,
@@ -19,9 +20,12 @@
     Sender,
     Serving,
     SwitchRelease,
+    TakenIds,
     decode,
     encode,
+    taken_ids,
 )
+from tansyspur.net.recent_ids import RecentIds
 from tests.test_program import async_test
 from tests.world import WAIT_TIMEOUT_S
 
@@ -30,7 +34,8 @@
 SWITCH_RELEASES = st.builds(
     SwitchRelease, CALL_IDS, st.text(max_size=256), st.booleans(), st.text(max_size=512)
 )
-FROM_BOTH = st.one_of(st.builds(CallerRelease, CALL_IDS, CAUSES), SWITCH_RELEASES)
+TAKEN_IDS = st.builds(TakenIds, st.lists(CALL_IDS, max_size=MAX_IDS_PER_LINE).map(tuple))
+FROM_BOTH = st.one_of(st.builds(CallerRelease, CALL_IDS, CAUSES), SWITCH_RELEASES, TAKEN_IDS)
 FROM_SUCCESSOR = st.one_of(st.just(Serving()), FROM_BOTH)
 FROM_PREDECESSOR = st.one_of(st.builds(CallEnd, CALL_IDS, CAUSES), FROM_BOTH)
 UNUSABLE = [
@@ -56,6 +61,26 @@
         decode(line, sender)
 
 
+@given(st.integers(0, 1000))
+def test_any_number_of_taken_ids_fits_on_lines(count):
+    call_ids = [f"{number:016x}" for number in range(count)]
+    lines = [encode(message, Sender.PREDECESSOR) for message in taken_ids(call_ids)]
+    assert all(len(line) <= MAX_LINE_BYTES for line in lines)
+    received = [call_id for line in lines for call_id in decode(line, Sender.PREDECESSOR).call_ids]
+    assert received == call_ids
+
+
+@given(st.lists(st.tuples(st.integers(0, 300), st.floats(0, 9)), max_size=60))
+def test_an_id_is_remembered_for_its_lifetime_unless_there_are_too_many(steps):
+    ids, now, added_at = RecentIds(lifetime_s=20, max_ids=1000), 0.0, {}
+    for number, wait_s in steps:
+        now += wait_s
+        ids.add(str(number), now)
+        added_at[number] = now
+        assert all(str(known) in ids for known, at in added_at.items() if now - at < 20)
+    assert len(list(ids)) <= 2 * len(steps)
+
+
 @pytest.mark.parametrize("cause", [0, 128, -1, 10**4200, True, None, "16", 1.5])
 def test_a_release_with_a_figure_that_is_no_cause_is_a_normal_one(cause):
     line = b'{"type":"release","id":"00000000000000aa","cause":%s}\n'
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -14,7 +14,7 @@
 
 import pytest
 
-from tests.test_program import async_test
+from tests.test_program import async_test, set_up_line
 from tests.world import NS_PER_S, WAIT_TIMEOUT_S, Switch, World, settings
 
 
@@ -145,6 +145,40 @@
         slow.handle_setup("486", open_call)
 
 
+@async_test
+async def test_an_id_that_one_process_has_taken_is_not_served_by_the_other():
+    # The same id came to the other process while its first call was open or had just ended, and ran twice.
+    switch, slow = Switch("s-1", 1), Switch("s-2", 2, plan=["silent"])
+    async with World(switch, slow) as world:
+        first, leaver = await world.caller(), await world.caller()
+        open_call = first.set_up(2, remaining_ms=9000)  # the old process keeps this connection
+        await slow.next("INVITE", open_call)
+        left_call = leaver.set_up(2, remaining_ms=9000)
+        await slow.next("INVITE", left_call)
+        leaver.close()
+        await slow.next("CANCEL", left_call)
+        old = await world.start_successor()
+        late_call = first.set_up(1)
+        await first.next(late_call, "answer")
+        old.send_signal(signal.SIGTERM)
+        await world.wait_for_log("shutting down")
+        for call in (open_call, left_call, late_call):
+            again = await world.caller()
+            again.writer.write(set_up_line(call))
+            assert await again.no_message_within(WAIT_TIMEOUT_S)  # closed without an answer
+        second = await world.caller()
+        call_of_new = second.set_up(1)
+        await second.next(call_of_new, "answer")
+        first.writer.write(set_up_line(call_of_new))
+        # Its connection is closed, after the open set-up on it has failed.
+        assert (await first.next(open_call))["type"] == "release"
+        assert await first.no_message_within(WAIT_TIMEOUT_S)
+        invites = [
+            call_id for one in (switch, slow) for _, method, call_id in one.received_log if method == "INVITE"
+        ]
+        assert len(invites) == len(set(invites)) == 4
+
+
 @pytest.mark.parametrize("replaced", [False, True])
 @async_test
 async def test_a_caller_that_is_back_with_nothing_to_send_hears_the_end_of_its_call(replaced):
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -362,6 +362,49 @@
         } == set(both)
 
 
+@async_test
+async def test_set_ups_of_a_caller_that_has_closed_its_connection_are_not_sent():
+    # What was still unread when the caller closed was served, and ran for nobody.
+    switch = Switch("s-1", 1)
+    async with World(switch) as world:
+        kept = await world.caller()
+        standing = kept.set_up(1)
+        await kept.next(standing, "answer")
+        world.process.send_signal(signal.SIGSTOP)
+        leaver = await world.caller()
+        for number in range(200):
+            leaver.writer.write(set_up_line(f"{0xA0000 + number:016x}"))
+        leaver.send("release", standing, cause=16)
+        await leaver.writer.drain()
+        leaver.close()
+        await leaver.writer.wait_closed()
+        await asyncio.sleep(0.2)
+        world.process.send_signal(signal.SIGCONT)
+        assert (await switch.next("BYE"))[1] == standing  # a release counts all the same
+        assert (await kept.next(kept.set_up(1)))["type"] == "answer"
+        assert switch.count("INVITE") == 2
+
+
+@async_test
+async def test_an_id_whose_caller_has_left_is_not_served_again_after_thousands_of_others():
+    switch = Switch("s-1", 1, plan=["silent"])
+    async with World(switch) as world:
+        leaver, flooder = await world.caller(), await world.caller()
+        call = leaver.set_up(1, remaining_ms=4000)
+        await switch.next("INVITE", call)
+        leaver.close()
+        await switch.next("CANCEL", call)
+        for number in range(6000):
+            flooder.writer.write(set_up_line(f"{0xB0000 + number:016x}", left="NaN"))
+            if number % 20 == 19:
+                for _ in range(20):
+                    assert (await flooder.next())["cause"] == 100
+        again = await world.caller()
+        again.writer.write(set_up_line(call))
+        assert await again.no_message_within(WAIT_TIMEOUT_S)  # closed without an answer
+        assert switch.count("INVITE") == 1
+
+
 @async_test
 async def test_a_release_goes_to_a_caller_and_not_to_a_connection_without_calls():
     # A release would be lost on a connection that has brought no set-up, as nobody reads it there.
