Fail the test that leaves a stream, task or socket open, and close what stand-ins open

Cause: stand-ins and tests that never closed their connections, and modules of hypothesis that pytest rewrites inside a test. The reproduction, as in the issue: a class whose __del__ calls ast.parse, collected while ast.parse builds its tree.

Change: tests/async_runner.py runs each async test, closes what its stand-ins own, and fails the test, by its name, if a stream is open or a task runs on; then it collects, so that a finalizer's error belongs to that test. What hypothesis imports late is imported before the first test.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,16 +1,32 @@
 """Fixtures and helpers of the tests that drive one decision module."""
 
+import importlib
+
 import pytest
 from hypothesis import settings as hypothesis_settings
 
 from tansyspur import interface
 from tansyspur.policy import Controller
 from tests import known_red
+from tests.world import close_reserved_sockets
 
 # Without this, results depend on the load of the machine and on random seeds.
 hypothesis_settings.register_profile("deterministic", deadline=None, derandomize=True)
 hypothesis_settings.load_profile("deterministic")
 
+# Imported when first needed, which would be inside a test: pytest rewrites them with ast.parse, and that must not be
+# interrupted by the finalizers of what a test has used.
+LAZY_MODULES = ("hypothesis.strategies._internal.regex", "hypothesis.internal.conjecture.optimiser")
+
+
+def pytest_collection_finish():
+    for name in LAZY_MODULES:
+        importlib.import_module(name)
+
+
+def pytest_sessionfinish():
+    close_reserved_sockets()
+
 
 def pytest_collection_modifyitems(items):
     known_red.mark_expected_failures(items)
--- a/tests/test_call_deadline.py
+++ b/tests/test_call_deadline.py
@@ -6,8 +6,8 @@
 from tansyspur import interface
 from tansyspur.core.gatekeeper import Gatekeeper
 from tansyspur.core.ports import Offer
+from tests.async_runner import async_test
 from tests.conftest import CHECK, NS_PER_MS, settings
-from tests.test_program import async_test
 from tests.world import WAIT_TIMEOUT_S
 
 REFUSAL_AHEAD_NS = 30 * NS_PER_MS  # before the deadline
--- a/tests/test_cdr.py
+++ b/tests/test_cdr.py
@@ -19,7 +19,7 @@
     parse_line,
     parse_record,
 )
-from tests.test_program import async_test
+from tests.async_runner import async_test
 from tests.world import Switch, World
 
 TEXT = st.text(max_size=30).map(lambda text: "".join(mark if mark.isprintable() else "?" for mark in text))
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -26,7 +26,7 @@
     taken_ids,
 )
 from tansyspur.net.recent_ids import RecentIds
-from tests.test_program import async_test
+from tests.async_runner import async_test, close_at_end
 from tests.world import WAIT_TIMEOUT_S
 
 CALL_IDS = st.from_regex(r"[0-9A-Fa-f]{16}", fullmatch=True)
@@ -97,6 +97,7 @@
     received, lines = [], []
 
     async def serve(reader, writer):
+        close_at_end(writer)
         writer.write(unusable + encode(Serving(), Sender.SUCCESSOR))
         await reader.read()
         writer.close()
--- a/tests/test_iax2.py
+++ b/tests/test_iax2.py
@@ -16,8 +16,8 @@
 
 from tansyspur.iax2 import frames
 from tests import iax2_peer as iax
+from tests.async_runner import async_test
 from tests.iax2_peer import Iax2Peer
-from tests.test_program import async_test
 from tests.test_silent_switch import OBSERVATION_S, REPORT_LIMIT_S, collect_releases
 from tests.world import ROOT, WAIT_TIMEOUT_S, Switch, World, free_port
 
--- a/tests/test_internal_errors.py
+++ b/tests/test_internal_errors.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from tests.async_runner import async_test
 from tests.in_process import (
     ErrorInjector,
     Iax2Caller,
@@ -13,7 +14,6 @@
     JsonCaller,
     signal_queue_class,
 )
-from tests.test_program import async_test
 
 CALLERS = {"JSON lines": JsonCaller, "IAX2": Iax2Caller}
 PLANS = {
--- a/tests/test_log_reader.py
+++ b/tests/test_log_reader.py
@@ -12,7 +12,7 @@
 import time
 
 from tansyspur.log_writer import CLOSE_TIMEOUT_S, QueuedWriter
-from tests.test_program import async_test
+from tests.async_runner import async_test
 from tests.world import ROOT, WAIT_TIMEOUT_S, Switch, World
 
 PIPE_BYTES = 4096  # the least that the system allows, so that few lines fill it
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -14,7 +14,8 @@
 
 import pytest
 
-from tests.test_program import async_test, set_up_line
+from tests.async_runner import async_test
+from tests.test_program import set_up_line
 from tests.world import NS_PER_S, WAIT_TIMEOUT_S, Switch, World, settings
 
 
--- a/tests/test_silent_switch.py
+++ b/tests/test_silent_switch.py
@@ -11,7 +11,7 @@
 import pytest
 
 from tansyspur.faults.proxy import Fault
-from tests.test_program import async_test
+from tests.async_runner import async_test
 from tests.world import Switch, World
 
 # PROTOCOL, "The rules on sockets": the end of a call is reported within this time where no release could be sent.
--- a/tests/test_slow_switch.py
+++ b/tests/test_slow_switch.py
@@ -9,7 +9,7 @@
 import pytest
 
 from tansyspur.net.response_limits import MAX_FACTOR, ResponseLimits
-from tests.test_program import async_test
+from tests.async_runner import async_test
 from tests.world import Switch, World
 
 ADAPTATION_S = 5.0  # within the 6.2 s that the shortest trouble of a switch on the operators' pages lasts
@@ -77,6 +77,8 @@
             switch.bye(call, writer=switch.writers[-1])
             assert (await caller.next(call))["type"] == "release"
         switch.delay_s = switch.piece_pause_s = 0.0
+    for task in switch.tasks:
+        task.cancel()
 
 
 def test_the_limits_double_once_for_the_connections_that_had_the_present_ones():
--- a/tests/test_standing_trial.py
+++ b/tests/test_standing_trial.py
@@ -10,8 +10,8 @@
 
 import pytest
 
+from tests.async_runner import async_test
 from tests.standing_trial import Trial
-from tests.test_program import async_test
 
 SHUTDOWN_BELOW_S = 10.0
 
--- a/tests/test_syslog.py
+++ b/tests/test_syslog.py
@@ -5,7 +5,7 @@
 import socket
 
 from tansyspur.syslog import BURST_LINES, Syslog
-from tests.test_program import async_test
+from tests.async_runner import async_test
 from tests.world import WAIT_TIMEOUT_S, Switch, World
 
 LOG_LINE = re.compile(
