Tell a restarted IAX2 handset from its process before, and use no id of it again

Cause: Endpoint._receive_full (iax2/transport.py) matched a NEW to an open leg by address and call number alone, and to a closed one by its data; ids came from a generator with the configuration's seed, which is the same after a replacement. Ruled out: SIP switches at a reused address (the list, the leases and the guard tell them apart once told), and peers (no state).

Change: a NEW is a repeat only with the timestamp and data of the first, and the R bit or within 2 s. Otherwise the old leg ends, with its call, and a new one begins. Ids and the first call number are drawn from the system.

--- a/tansyspur/iax2/front.py
+++ b/tansyspur/iax2/front.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import random
+import secrets
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -118,7 +119,8 @@
 
     def __init__(self, front: Iax2Front, leg: Leg) -> None:
         self.front, self.leg = front, leg
-        self.wire_id = f"{front.rng.getrandbits(64):016x}"
+        # Not of the configuration's seed: after a replacement the process before has calls with the same switches.
+        self.wire_id = secrets.token_hex(8)
         self.call: Call | None = None
         self.peer: Peer | None = None
         self.challenge = ""
--- a/tansyspur/iax2/transport.py
+++ b/tansyspur/iax2/transport.py
@@ -7,6 +7,7 @@
 import asyncio
 import itertools
 import random
+import secrets
 from collections.abc import Callable
 from typing import Protocol, cast
 
@@ -34,6 +35,7 @@
 IAX_SUBCLASSES = frozenset(int(subclass) for subclass in Iax)
 # A closed leg acknowledges retransmissions for this time, so that none of them starts a new call.
 LINGER_S = 15.0
+COPY_WINDOW_S = 2.0  # a copy that the network makes of a datagram arrives within this time
 MAX_LEGS = 4_000
 
 Address = tuple[str, int]
@@ -68,8 +70,9 @@
         self.timers: dict[int, asyncio.TimerHandle] = {}
         self.started_at = self.loop.time()
         self.last_timestamp = -1
-        # Data of the frame from the remote side that opened the leg, to recognize its retransmissions.
+        # Of the frame from the remote side that opened the leg, to recognize its retransmissions.
         self.opening_data: bytes | None = None
+        self.opening_timestamp = -1
         self.closing = self.closed = False
         self.ping_timer: asyncio.TimerHandle | None = None
         self.last_received_at = self.started_at
@@ -271,7 +274,9 @@
         self.log, self.rng, self.max_legs = log, rng, max_legs
         self.legs: dict[int, Leg] = {}
         self.legs_by_remote: dict[tuple[Address, int], Leg] = {}
-        self.call_numbers = itertools.cycle(range(1, MAX_CALL_NUMBER))
+        # Not from the same number at each start: remote sides may still have calls with the process before.
+        first = secrets.randbelow(MAX_CALL_NUMBER - 1) + 1
+        self.call_numbers = itertools.cycle([*range(first, MAX_CALL_NUMBER), *range(1, first)])
         # Called with a new leg for a NEW, REGREQ or REGREL. Returns the user of the leg; None if it was refused.
         self.on_new: Callable[[Leg, FullFrame, dict[int, bytes]], LegUser | None] = lambda *_: None
         self.is_available: Callable[[], bool] = lambda: True  # whether a POKE is answered with PONG
@@ -335,7 +340,8 @@
             leg = self.legs_by_remote.get((addr, frame.source))
             belongs_to_leg = leg is not None
         if belongs_to_leg and leg is not None:
-            if frame.is_iax(Iax.NEW) and leg.closed and self._starts_new_call(frame, leg):
+            if self._starts_new_call(frame, leg):
+                leg.give_up("the remote side started again under the same call number")
                 self.forget(leg)
             else:
                 if leg.remote == 0 and frame.source:
@@ -347,8 +353,16 @@
             self._send_inval(frame, addr)
 
     def _starts_new_call(self, frame: FullFrame, leg: Leg) -> bool:
-        """Whether the NEW reuses the call number of a closed leg, and does not repeat the frame that opened it."""
-        return not frame.retransmitted and leg.opening_data != bytes(frame.data)
+        """Whether the frame reuses the call number of a leg, and does not repeat the frame that opened it.
+
+        A remote side that was restarted begins with the same numbers, and often with the same timestamp and called
+        number as before. A retransmission has the R bit (section 7.2.1); only a copy made by the network has not.
+        """
+        if not frame.is_iax(Iax.NEW) and not (leg.closed and frame.is_iax(Iax.REGREQ, Iax.REGREL)):
+            return False
+        if (leg.opening_timestamp, leg.opening_data) != (frame.timestamp, bytes(frame.data)):
+            return True
+        return not frame.retransmitted and leg.loop.time() - leg.started_at > COPY_WINDOW_S
 
     def _receive_without_leg(self, frame: FullFrame, addr: Address) -> None:
         """Answer a POKE, or open a leg for a NEW, REGREQ or REGREL."""
@@ -372,7 +386,7 @@
         leg = self.open_leg(addr, None)
         if leg is None:
             return self.log("warning", "iax2", "too many legs; frame ignored", peer=addr[0])
-        leg.remote, leg.opening_data = frame.source, bytes(frame.data)
+        leg.remote, leg.opening_data, leg.opening_timestamp = frame.source, bytes(frame.data), frame.timestamp
         self.legs_by_remote[addr, frame.source] = leg
         leg.iseqno = (frame.oseqno + 1) % 256
         leg.acknowledge(frame)
--- a/tests/test_iax2.py
+++ b/tests/test_iax2.py
@@ -256,6 +256,31 @@
         assert switch.count("INVITE") == 2
 
 
+@pytest.mark.parametrize(("called", "pause_s"), [("2199", 0.0), ("21", 2.5)])
+@pytest.mark.parametrize("ended", [False, True])
+@async_test
+async def test_a_handset_that_was_restarted_is_served_though_it_uses_its_call_numbers_again(
+    called, pause_s, ended
+):
+    # Its NEW was taken for a copy of the one before the restart: it was acknowledged, and never answered.
+    switch = Switch("s-1", 1)
+    async with Iax2World(switch) as world:
+        before = world.call("21")
+        await before.next(ANSWERED)
+        if ended:
+            before.hang_up()
+            await switch.next("BYE")
+        await asyncio.sleep(pause_s)
+        world.caller_peer.calls, world.caller_peer.calls_by_remote = {}, {}
+        world.caller_peer.numbers = itertools.count(1)
+        after = world.call(called)
+        assert after.number == before.number
+        await after.next(ANSWERED)
+        if not ended:  # nobody holds the call before the restart any more
+            await switch.next("BYE")
+        assert switch.count("INVITE") == 2 and switch.count("BYE") == 1
+
+
 BAD_DATAGRAMS = [
     b"", b"\x80", b"\x00\x00meta", b"\x80\x01\x00\x00", bytes(11), b"\xff" * 12, b"\xff" * 500,
     iax.full_frame(9, 0, 0, 0, 0, iax.IAX, iax.NEW, b"\x01\xff21"), iax.full_frame(9, 0, 0, 0, 0, iax.IAX, iax.NEW),
