Read callers' connections 2 KiB ahead only, and keep room for a third of the descriptors

Change: the stream reader's limit is 1 KiB; the number of connections is never bounded below the third of the descriptors that PROTOCOL lets callers hold; 512 set-ups for a connection, not 256, as one with a switch that does not answer may rightly have hundreds; a system that does not tell the state of a connection counts as one where it is open.

--- a/tansyspur/__main__.py
+++ b/tansyspur/__main__.py
@@ -187,7 +187,8 @@
         by_memory = int(
             self.config.limits.memory_mb * 2**20 * CONNECTIONS_MEMORY_SHARE / MAX_CONNECTION_BYTES
         )
-        return max(1, min(by_descriptors, by_memory))
+        callers_hold = self.config.limits.sockets // 3  # at most, PROTOCOL says
+        return min(by_descriptors, max(by_memory, callers_hold))
 
     # Starting
 
--- a/tansyspur/net/jsonlines.py
+++ b/tansyspur/net/jsonlines.py
@@ -23,7 +23,7 @@
 from tansyspur.core.ports import INVALID_ELEMENT, NORMAL_CLEARING, TEMPORARY_FAILURE, Offer, cause_or_normal
 from tansyspur.net.framing import Chunks, FramingError
 from tansyspur.net.handover_messages import CALL_ID, CallEnd, CallerRelease, Message, TakenIds, taken_ids
-from tansyspur.net.link import READ_BYTES, Link
+from tansyspur.net.link import Link
 from tansyspur.net.open_set_ups import OpenSetUps, PartialMessages
 from tansyspur.net.recent_ids import RecentIds
 
@@ -37,6 +37,7 @@
 MAX_REFUSED_IDS = 4096  # of set-ups that no switch can have seen
 MAX_ACCEPTED_AT_ONCE, BACKLOG = 16, 512
 MAX_UNSENT_WHILE_READING_BYTES = 8 * 1024  # a caller that does not read its answers is not read either
+READ_AHEAD_BYTES = 1024  # with twice as much waiting for a connection's turn, nothing more is read of it
 RECEIVE_BUFFER_BYTES = 16 * 1024  # of the kernel for each connection; Linux takes twice as much
 DEFAULT_MEMORY_MB = 192
 # The shares of the memory limit that open set-ups, and messages that are not complete, may take.
@@ -256,7 +257,10 @@
         with contextlib.suppress(OSError):
             self.listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         self.server = await asyncio.start_server(
-            self._on_connection, sock=self.listening.dup(), backlog=MAX_ACCEPTED_AT_ONCE, limit=READ_BYTES
+            self._on_connection,
+            sock=self.listening.dup(),
+            backlog=MAX_ACCEPTED_AT_ONCE,
+            limit=READ_AHEAD_BYTES,
         )
 
     def stop_accepting(self) -> None:
--- a/tansyspur/net/link.py
+++ b/tansyspur/net/link.py
@@ -150,7 +150,7 @@
         """Whether the other side has closed the connection. What it sent before may be unread still."""
         with contextlib.suppress(OSError, ValueError):  # the socket is closed, or is none of TCP
             info = self.writer.get_extra_info("socket").getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
-            return info[0] == TCP_CLOSE_WAIT
+            return info[:1] == bytes([TCP_CLOSE_WAIT])  # empty where the system does not tell
         return False
 
     @property
--- a/tansyspur/net/open_set_ups.py
+++ b/tansyspur/net/open_set_ups.py
@@ -7,7 +7,7 @@
 from collections import Counter
 from collections.abc import Hashable
 
-MAX_PER_CONNECTION = 256
+MAX_PER_CONNECTION = 512
 # What a set-up holds besides its message: its call, its task, and what the decision module keeps of it.
 SET_UP_BYTES = 4 * 1024
 
