Keep what discovery told a process for the one that replaces it

While discovery is down, a process that replaces another said yes after 4 s and then sent set-ups to a switch of which the old one knew that it drains, 2.3 to 3.8 s after the yes and for as long as discovery was down. New switches got none.

Cause: Program.wait_until_informed gives up after 4 s, and then serves with "known" of the configuration file. What the old process had been told since its start was in its memory only. Ruled out: the channel and the check before a set-up is written (with discovery up, or answering within 4 s, the rule holds), and a longer wait (the yes is due 6 s after the start).

A process reads the files of the others at its start, before it serves, and when the other process reports an event (EventsStored, both ways). A file, since a process that hangs or was killed sends no message.

A test that fails no longer waits for a predecessor that nobody ends (tests/world.py).

--- a/tansyspur/__main__.py
+++ b/tansyspur/__main__.py
@@ -16,7 +16,7 @@
 import sys
 from collections.abc import Callable
 from dataclasses import replace
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from tansyspur import config as configuration
 from tansyspur import interface
@@ -30,11 +30,13 @@
 from tansyspur.net import handover
 from tansyspur.net.channel import Channel
 from tansyspur.net.console import Console
+from tansyspur.net.event_store import EventStore
 from tansyspur.net.handover import Handover, Partner
 from tansyspur.net.handover_messages import (
     MAX_LINE_BYTES,
     CallEnd,
     CallerRelease,
+    EventsStored,
     Message,
     Sender,
     Serving,
@@ -86,8 +88,15 @@
         self.records = self.open_records(config.records_file) if config.records_file else None
         self.console = Console(self.gatekeeper, log)
         self.peers = Peers(list(config.peers), config.peers_all, self.gatekeeper.peer_message, log)
+        directory = handover.directory()
+        self.event_store = directory and EventStore(directory, config.name, config.seed, log)
         self.channel = Channel(
-            config.channel, self.gatekeeper.list_changed, self.gatekeeper.spawn, log, self.gatekeeper.metrics
+            config.channel,
+            self.gatekeeper.list_changed,
+            self.gatekeeper.spawn,
+            log,
+            self.gatekeeper.metrics,
+            self.store_event,
         )
         # Listening sockets: taken from the predecessor if one runs, and offered to the successor.
         path = handover.socket_path(config.name)
@@ -201,6 +210,7 @@
         if self.records:
             self.records.start()
         self.channel.load_known_events(dict(self.config.known_events))
+        self.apply_events_of_others()
         self.channel.start()
         if self.predecessor_socket:
             await self.take_over(self.predecessor_socket)
@@ -209,6 +219,8 @@
             if self.config.iax2:
                 await self.open_iax2(self.config.iax2)
             self.gatekeeper.spawn(self.wait_for_first_dials(), "start").add_done_callback(self.mark_started)
+        if self.event_store and not self.predecessor:
+            self.event_store.remove_abandoned()
         address = ":".join(map(str, self.config.listen))
         self.log("notice", "start", "listening", name=self.config.name, address=address)
         await self.stop_requested.wait()
@@ -272,6 +284,7 @@
         for wait in waits:
             wait.cancel()
         if not self.stop_requested.is_set():
+            self.apply_events_of_others()
             await self.start_serving()
             predecessor.send(Serving())
             self.mark_started()
@@ -296,6 +309,9 @@
         self.predecessor = self.front.send_to_other_process = None
         self.front.set_connection_limit(self.max_connections())
         self.log("notice", "handover", "the predecessor has gone")
+        self.apply_events_of_others()
+        if self.event_store:
+            self.event_store.remove_abandoned()
         if self.config.iax2:
             # All frames of a call must reach the process that holds it, so the predecessor kept the IAX2 address until
             # its exit.
@@ -307,6 +323,28 @@
         if other:
             other.send(message)
 
+    def store_event(self, event: dict[str, Any]) -> None:
+        """Keep an event of discovery for the other processes, and tell those that are connected."""
+        if not self.event_store:
+            return
+        self.event_store.append(event)
+        for partner in (self.predecessor, self.handover and self.handover.successor):
+            if partner:
+                partner.send(EventsStored())
+
+    def apply_events_of_others(self) -> None:
+        """Apply what other processes of this gatekeeper have been told by discovery, and this one has not."""
+        events = self.event_store.read_others() if self.event_store else []
+        applied = self.channel.apply_stored(events)
+        if applied:
+            self.log(
+                "notice",
+                "handover",
+                "events of discovery taken over from another process",
+                events=applied,
+                cursor=self.channel.cursor,
+            )
+
     def on_predecessor_message(self, message: Message) -> None:
         if isinstance(message, CallEnd):
             self.front.release_for_other_process(message)
@@ -314,9 +352,10 @@
             self.front.release_from_other_process(message)
         elif isinstance(message, SwitchRelease):
             self.on_switch_release(message)
-
         elif isinstance(message, TakenIds):
             self.front.take_ids_of_other_process(message)
+        elif isinstance(message, EventsStored):
+            self.apply_events_of_others()
 
     def on_switch_release(self, release: SwitchRelease) -> None:
         """A switch released a call of this process on a connection of the other one."""
@@ -345,6 +384,8 @@
             self.on_switch_release(message)
         elif isinstance(message, TakenIds):
             self.front.take_ids_of_other_process(message)
+        elif isinstance(message, EventsStored):
+            self.apply_events_of_others()
 
     def on_successor_changed(self) -> None:
         self.front.set_connection_limit(self.max_connections())
@@ -390,6 +431,8 @@
             switch.dial_timeout_s = new_config.dial_timeout_s
         if self.iax2_front and new_config.iax2:
             self.iax2_front.set_number_routes(new_config.iax2.number_routes)
+        if self.event_store:
+            self.event_store.change_seed(new_config.seed)
         self.channel.change_address(new_config.channel)
         if self.records:
             self.records.reopen()
@@ -436,6 +479,8 @@
         self.console.close()
         await asyncio.sleep(0.1)  # the last releases are sent; messages that arrive meanwhile are dropped
         self.endpoint.close()
+        if self.event_store:
+            self.event_store.close(keep_file=bool(self.handover and self.handover.successor))
         if self.records:
             await self.records.close()
 
--- a/tansyspur/net/channel.py
+++ b/tansyspur/net/channel.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from tansyspur import interface
+from tansyspur.core.error_boundary import run_contained
 from tansyspur.core.metrics import Metrics
 from tansyspur.core.ports import SwitchListing
 from tansyspur.net.channel_connections import ChannelConnections, Spawn
@@ -20,6 +21,7 @@
 
 Log = Callable[..., None]
 OnList = Callable[[interface.SwitchListKind, list[SwitchListing]], None]
+OnEvent = Callable[[dict[str, Any]], None]
 
 
 def parse_listing(row: Any) -> SwitchListing:
@@ -43,15 +45,21 @@
 
 
 class Channel:
-    """Receives the switch list from the channel at address, and calls on_list for each event.
+    """Receives the switch list from the channel at address, and calls on_list for each event, then on_event.
 
     The connection is kept up for as long as the task runs; an event that is missing is requested once.
     """
 
     def __init__(
-        self, address: str | None, on_list: OnList, spawn: Spawn, log: Log, metrics: Metrics
+        self,
+        address: str | None,
+        on_list: OnList,
+        spawn: Spawn,
+        log: Log,
+        metrics: Metrics,
+        on_event: OnEvent = lambda event: None,
     ) -> None:
-        self.address, self.metrics = address, metrics
+        self.address, self.metrics, self.on_event = address, metrics, on_event
         self.on_list, self.spawn, self.log = on_list, spawn, log
         self.cursor = 0
         self.requested_after = -1  # the cursor at which a missing event was last requested
@@ -78,20 +86,38 @@
     def load_known_events(self, known_events: dict[str, Any]) -> None:
         """Apply the events that the configuration holds under "known"."""
         for event in known_events.get("cmds") or []:
-            self._on_event(event)
+            self._apply_new(event)
         cursor = known_events.get("cursor")
         self.cursor = max(self.cursor, cursor if isinstance(cursor, int) else 0)
 
-    def _on_event(self, event: Any) -> None:
+    def apply_stored(self, events: list[dict[str, Any]]) -> int:
+        """Apply the events after the current cursor that another process has applied. Returns their number.
+
+        An event that is missing among them was missing there, too.
+        """
+        new_events = [event for event in events if self._is_new(event)]
+        for event in new_events:
+            run_contained(self.log, "channel", self._apply_new, event)
+        return len(new_events)
+
+    def _is_new(self, event: Any) -> bool:
+        """Whether the event is not a repetition, as after a reconnect."""
         cursor = event.get("cursor") if isinstance(event, dict) else None
-        if not isinstance(cursor, int) or cursor <= self.cursor:
-            return  # repeated after a reconnect
+        return isinstance(cursor, int) and cursor > self.cursor
+
+    def _on_event(self, event: Any) -> None:
+        if not self._is_new(event):
+            return
         if "nodes" not in event:
             # A cursor alone may arrive before its event, so it must not mark the event as applied.
-            return self._check_gap(cursor)
-        if self.connections:
-            self._check_gap(cursor - 1)
-        self.cursor = cursor
+            return self._check_gap(event["cursor"])
+        self._check_gap(event["cursor"] - 1)
+        self._apply_new(event)
+
+    def _apply_new(self, event: Any) -> None:
+        if not self._is_new(event) or "nodes" not in event:
+            return
+        cursor = self.cursor = event["cursor"]
         nodes = event.get("nodes")
         if not isinstance(nodes, dict):
             return
@@ -105,6 +131,7 @@
             interface.SwitchListKind.COMPLETE if nodes.get("snapshot") else interface.SwitchListKind.CHANGES,
             rows,
         )
+        self.on_event(event)
 
     @property
     def steady_since(self) -> float | None:
--- a/tansyspur/net/handover.py
+++ b/tansyspur/net/handover.py
@@ -34,10 +34,16 @@
 Spawn = Callable[[Coroutine[Any, Any, None], str], asyncio.Task[None]]
 
 
+def directory() -> Path | None:
+    """Return the folder that the processes of a gatekeeper share; None if TMPDIR is not set."""
+    path = os.environ.get("TMPDIR")
+    return Path(path) if path else None
+
+
 def socket_path(name: str) -> Path | None:
-    """Return the path at which the process of this name hands over its sockets; None if TMPDIR is not set."""
-    directory = os.environ.get("TMPDIR")
-    return Path(directory, f"tansyspur-{name.replace('/', '_')}.sock") if directory else None
+    """Return the path at which the process of this name hands over its sockets; None without a shared folder."""
+    shared = directory()
+    return shared and shared / f"tansyspur-{name.replace('/', '_')}.sock"
 
 
 def bind_socket(host: str, port: int, socket_type: int = socket.SOCK_STREAM) -> socket.socket:
--- a/tansyspur/net/handover_messages.py
+++ b/tansyspur/net/handover_messages.py
@@ -67,7 +67,12 @@
     call_ids: tuple[str, ...]
 
 
-Message = Serving | CallerRelease | CallEnd | SwitchRelease | TakenIds
+@dataclass(slots=True, frozen=True)
+class EventsStored:
+    """The sender has appended events of discovery to its file (net/event_store.py), which the receiver may lack."""
+
+
+Message = Serving | CallerRelease | CallEnd | SwitchRelease | TakenIds | EventsStored
 
 TYPES: dict[Sender, dict[str, type[Message]]] = {
     Sender.PREDECESSOR: {
@@ -75,12 +80,14 @@
         "caller_release": CallerRelease,
         "switch_release": SwitchRelease,
         "taken_ids": TakenIds,
+        "events_stored": EventsStored,
     },
     Sender.SUCCESSOR: {
         "serving": Serving,
         "release": CallerRelease,
         "switch_release": SwitchRelease,
         "taken_ids": TakenIds,
+        "events_stored": EventsStored,
     },
 }
 
@@ -116,7 +123,7 @@
 
 def _members(message: Message) -> dict[str, Any]:
     match message:
-        case Serving():
+        case Serving() | EventsStored():
             return {}
         case CallerRelease(call_id, cause) | CallEnd(call_id, cause):
             return {"id": call_id, "cause": cause}
@@ -140,7 +147,7 @@
         if not isinstance(call_ids, list):
             raise InvalidMessage("ids: expected a list")
         return TakenIds(tuple(_call_id(call_id) for call_id in call_ids))
-    return Serving()
+    return message_type()
 
 
 def _call_id(value: Any) -> str:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -16,6 +16,7 @@
     MAX_LINE_BYTES,
     CallEnd,
     CallerRelease,
+    EventsStored,
     InvalidMessage,
     Sender,
     Serving,
@@ -35,7 +36,9 @@
     SwitchRelease, CALL_IDS, st.text(max_size=256), st.booleans(), st.text(max_size=512)
 )
 TAKEN_IDS = st.builds(TakenIds, st.lists(CALL_IDS, max_size=MAX_IDS_PER_LINE).map(tuple))
-FROM_BOTH = st.one_of(st.builds(CallerRelease, CALL_IDS, CAUSES), SWITCH_RELEASES, TAKEN_IDS)
+FROM_BOTH = st.one_of(
+    st.builds(CallerRelease, CALL_IDS, CAUSES), SWITCH_RELEASES, TAKEN_IDS, st.just(EventsStored())
+)
 FROM_SUCCESSOR = st.one_of(st.just(Serving()), FROM_BOTH)
 FROM_PREDECESSOR = st.one_of(st.builds(CallEnd, CALL_IDS, CAUSES), FROM_BOTH)
 UNUSABLE = [
--- a/tests/world.py
+++ b/tests/world.py
@@ -225,6 +225,17 @@
         self.port = self.server.sockets[0].getsockname()[1]
         return self
 
+    def stop(self):
+        """Refuse new connections, and end those that are open."""
+        self.refuse_connections()
+        for writer in self.writers:
+            writer.transport.abort()
+        self.writers.clear()
+
+    def refuse_connections(self):
+        """Refuse new connections, and serve those that are open."""
+        self.server.close()
+
     async def serve(self, reader, writer):
         close_at_end(writer)
         request, cursor = (await reader.readline()).split()
@@ -324,6 +335,7 @@
         self.switches, self.operator, self.settings = [*switches], operator, settings(**changed)
         self.limits = limits or {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
         self.channel, self.log_lines = Channel(discovery_delay_s), []
+        self.processes = []  # all that were started
 
     async def __aenter__(self):
         for switch in self.switches:
@@ -390,6 +402,7 @@
                 "TMPDIR": self.folder.name, "ROUTER_CONSOLE": f"127.0.0.1:{console_port}",
             },
         )  # fmt: skip
+        self.processes.append(process)
         self.log_readers.append(asyncio.create_task(self.read_log(process)))
         return process
 
@@ -475,8 +488,10 @@
                         switch.bye(call_id, writer=writer)
             code = await self.stop()
         finally:
-            if self.process.returncode is None:
-                self.process.kill()
+            for process in self.processes:
+                # A test that has failed may leave a predecessor running, which would never end by itself.
+                if process.returncode is None and (error or process is self.process):
+                    process.kill()
             await asyncio.gather(*self.log_readers)
             if error:
                 print("\n".join(self.log_lines))
