Pass a SIGHUP of the old process on to the one that replaces it

A file that changes after the new process has read it, with SIGHUP to the process that serves, was never read by the new one: it went on with the old settings, and refused the set-ups of a new class ("unusable class").

Cause: Program.reload told nobody; the new process reads the file once, at its start, up to 4 s before it serves.

Change: message ConfigurationRead, from the old process to the new one, after a file has been taken. One that is rejected is not passed on.

Measured: test_settings_read_by_the_old_process_are_those_of_its_successor failed before (release in place of answer) and passes.

--- a/tansyspur/__main__.py
+++ b/tansyspur/__main__.py
@@ -36,6 +36,7 @@
     MAX_LINE_BYTES,
     CallEnd,
     CallerRelease,
+    ConfigurationRead,
     EventsStored,
     Message,
     Sender,
@@ -356,6 +357,8 @@
             self.front.take_ids_of_other_process(message)
         elif isinstance(message, EventsStored):
             self.apply_events_of_others()
+        elif isinstance(message, ConfigurationRead):
+            self.reload()
 
     def on_switch_release(self, release: SwitchRelease) -> None:
         """A switch released a call of this process on a connection of the other one."""
@@ -436,6 +439,9 @@
         self.channel.change_address(new_config.channel)
         if self.records:
             self.records.reopen()
+        if self.handover and self.handover.successor:
+            # A successor may have read the file before it was changed, and is not told so by a signal.
+            self.handover.successor.send(ConfigurationRead())
 
     # Shutdown
 
--- a/tansyspur/net/handover_messages.py
+++ b/tansyspur/net/handover_messages.py
@@ -72,7 +72,12 @@
     """The sender has appended events of discovery to its file (net/event_store.py), which the receiver may lack."""
 
 
-Message = Serving | CallerRelease | CallEnd | SwitchRelease | TakenIds | EventsStored
+@dataclass(slots=True, frozen=True)
+class ConfigurationRead:
+    """The sender was told to read the configuration file again, and uses the new one."""
+
+
+Message = Serving | CallerRelease | CallEnd | SwitchRelease | TakenIds | EventsStored | ConfigurationRead
 
 TYPES: dict[Sender, dict[str, type[Message]]] = {
     Sender.PREDECESSOR: {
@@ -81,6 +86,7 @@
         "switch_release": SwitchRelease,
         "taken_ids": TakenIds,
         "events_stored": EventsStored,
+        "configuration_read": ConfigurationRead,
     },
     Sender.SUCCESSOR: {
         "serving": Serving,
@@ -123,7 +129,7 @@
 
 def _members(message: Message) -> dict[str, Any]:
     match message:
-        case Serving() | EventsStored():
+        case Serving() | EventsStored() | ConfigurationRead():
             return {}
         case CallerRelease(call_id, cause) | CallEnd(call_id, cause):
             return {"id": call_id, "cause": cause}
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -16,6 +16,7 @@
     MAX_LINE_BYTES,
     CallEnd,
     CallerRelease,
+    ConfigurationRead,
     EventsStored,
     InvalidMessage,
     Sender,
@@ -40,7 +41,7 @@
     st.builds(CallerRelease, CALL_IDS, CAUSES), SWITCH_RELEASES, TAKEN_IDS, st.just(EventsStored())
 )
 FROM_SUCCESSOR = st.one_of(st.just(Serving()), FROM_BOTH)
-FROM_PREDECESSOR = st.one_of(st.builds(CallEnd, CALL_IDS, CAUSES), FROM_BOTH)
+FROM_PREDECESSOR = st.one_of(st.builds(CallEnd, CALL_IDS, CAUSES), st.just(ConfigurationRead()), FROM_BOTH)
 UNUSABLE = [
     b"\n", b"[]\n", b"{\n", b"\xff\n", b'{"type":"release"}\n', b'{"type":"release","id":7,"cause":16}\n',
     b'{"type":"release","id":"00000000000000zz","cause":16}\n', b"9" * 5000 + b"\n", b"[" * 4000 + b"\n",
--- a/tests/test_replacement_knowledge.py
+++ b/tests/test_replacement_knowledge.py
@@ -10,7 +10,7 @@
 import pytest
 
 from tests.async_runner import async_test
-from tests.world import Switch, World
+from tests.world import NS_PER_S, Switch, World, settings
 
 DRAIN_GRACE_S = 0.25 + 0.05  # drain-grace-ns of the tests' settings, and the slack of PROTOCOL
 READY_LIMIT_S = 6.0  # LATER, "Replacing the process"
@@ -106,3 +106,27 @@
         await asyncio.sleep(DRAIN_GRACE_S)
         await assert_only_the_added_switch_serves(world, draining, added)
         old.terminate()
+
+
+@async_test
+async def test_settings_read_by_the_old_process_are_those_of_its_successor():
+    # The file was changed after the successor had read it, and the signal went to the old process only.
+    switch = Switch("s-1", 1)
+    async with World(switch) as world:
+        world.channel.answer_delay_s = 2.0
+        replacing = asyncio.create_task(world.start_successor())
+        old = world.process
+        await world.wait_for_log("successor connected; sockets sent")
+        classes = [
+            *settings()["classes"],
+            {"name": "probe", "value": 1.0, "objective-ns": NS_PER_S, "deadline-ns": 3 * NS_PER_S, "late-worth": 0.25},
+        ]  # fmt: skip
+        new, world.process = world.process, old
+        world.reload(settings={**world.settings, "classes": classes})
+        world.process = new
+        assert await replacing is old
+        old.terminate()
+        await old.wait()
+        caller = await world.caller()
+        call = caller.set_up(1, remaining_ms=2000, **{"class": "probe"})
+        assert (await caller.next(call))["type"] == "answer"
