Send no set-up where a second copy of the call's last refusal may come

A switch answers a set-up with 500 and sends a second copy 5 ms later. The gatekeeper took the copy for the end of the next attempt, which was at the switch by then, and sent a third beside it.

Cause: SipSwitch._on_response matches by Call-ID and connection, as switches answer each INVITE with CSeq 1, and SipSwitch.start_attempt sent the next attempt on the same connection at once. Ruled out: the decision module, which may route at once (the other wire, IAX2, gives each attempt a call number of its own), and cancelled attempts (the release delay lies between).

--- a/tansyspur/net/sip.py
+++ b/tansyspur/net/sip.py
@@ -10,7 +10,7 @@
 import math
 import re
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Container, Hashable
 from dataclasses import replace
 
 from tansyspur import interface
@@ -29,6 +29,7 @@
 from tansyspur.net.framing import Chunks, FramingError
 from tansyspur.net.handover_messages import CALL_ID, SwitchRelease
 from tansyspur.net.link import Link
+from tansyspur.net.recent_responses import RecentResponses
 from tansyspur.net.releases import PendingReleases
 from tansyspur.net.response_limits import ResponseLimits
 from tansyspur.net.sip_messages import (
@@ -94,7 +95,7 @@
         self.link: Link | None = None  # the connection that carried the set-up
         self.sent_at, self.sent_ns = 0.0, 0  # loop time in seconds; wall-clock time
         self.standing = self.ended = False
-        self.dial_timer: asyncio.TimerHandle | None = None
+        self.wait_timer: asyncio.TimerHandle | None = None
         self.expires_at = switch.loop.time() + request.timeout_ms / 1000
 
     @property
@@ -130,8 +131,8 @@
         self.notify(LegEnded(outcome, reason=EndReason.INTERNAL))
 
     def _send(self, link: Link) -> None:
-        if self.dial_timer:
-            self.dial_timer.cancel()
+        if self.wait_timer:
+            self.wait_timer.cancel()
         if self.ended:
             return
         if not self.may_send():
@@ -158,8 +159,8 @@
             return
         self.ended = True
         self.switch.forget(self)
-        if self.dial_timer:
-            self.dial_timer.cancel()
+        if self.wait_timer:
+            self.wait_timer.cancel()
         if self.link and self.link.unsent:
             # Without this a set-up could leave a stalled buffer after its attempt has ended.
             self.switch.log(
@@ -213,7 +214,8 @@
         self.loop = asyncio.get_running_loop()
         self.links: list[Link] = []
         self.legs: dict[str, SipLeg] = {}  # waiting, sent or standing, by Call-ID
-        self.waiting_legs: list[SipLeg] = []
+        self.waiting_legs: list[SipLeg] = []  # for a connection
+        self.recent_responses = RecentResponses()
         self.pending_releases = PendingReleases()
         self.closed_as_silent: set[Link] = set()  # aborted as silent, and not removed from links yet
         self.handled_suspects: set[Link] = set()  # suspect connections that have led to a new one
@@ -253,14 +255,25 @@
         self.legs[leg.call_id] = leg
         self.pending_releases.forget(leg.call_id)  # a BYE of the previous attempt would end this one
         self.cancelled_ids.pop(leg.call_id, None)
-        link = self._usable_link()
-        if link:
+        self._send_or_wait(leg)
+        return leg
+
+    def _send_or_wait(self, leg: SipLeg) -> None:
+        """Send the set-up on a connection on which no response to an earlier attempt can come, or wait for one.
+
+        A copy of that response would be taken for the end of this attempt, and the next one be sent beside it.
+        """
+        if leg.ended or self.retired:
+            return
+        windows = self.recent_responses.windows(leg.call_id, self.loop.time())
+        if link := self._usable_link(windows):
             leg.send(link)
+        elif windows and self._usable_link():
+            leg.wait_timer = self.loop.call_at(min(windows.values()), self._send_or_wait, leg)
         else:
             self.waiting_legs.append(leg)
-            leg.dial_timer = self.loop.call_later(self.dial_timeout_s, leg.fail_no_route)
+            leg.wait_timer = self.loop.call_later(self.dial_timeout_s, leg.fail_no_route)
             self.wake_event.set()
-        return leg
 
     def probe(self, notify: Callable[[interface.Outcome, interface.LoadReport | None], None]) -> None:
         link = self._usable_link()
@@ -284,7 +297,7 @@
         for link in list(self.links):
             if link.unsent:
                 link.abort()
-        for leg in self.waiting_legs[:]:
+        for leg in [leg for leg in self.legs.values() if leg.link is None]:
             self.forget(leg)
             leg.notify(LegEnded(interface.Outcome.NOT_SENT, reason=EndReason.HELD_BACK))
 
@@ -319,7 +332,7 @@
 
     # Connections
 
-    def _usable_link(self) -> Link | None:
+    def _usable_link(self, excluded: Container[Hashable] = ()) -> Link | None:
         """The most recently active connection that takes bytes and is not suspect; None if there is none."""
         suspect_before = self.loop.time() - self.limits.suspect_after_s
         usable = [
@@ -327,6 +340,7 @@
             for link in self.links
             if not link.closed
             and not link.unsent
+            and link not in excluded
             and self.ping_sent_at.get(link, suspect_before) >= suspect_before
         ]
         return max(usable, key=lambda link: link.received_at, default=None)
@@ -737,6 +751,7 @@
             self._arm_lease_timer()
             return leg.notify(Answered(media_description))
         self.forget(leg)
+        self.recent_responses.add(leg.call_id, link, self.loop.time())
         outcome = OUTCOME_BY_STATUS.get(status, interface.Outcome.FAULT)
         cause = CAUSE_BY_NAME.get(message.headers.get("x-cause", ""))
         report = parse_group_header(message.headers.get("x-group", ""))
--- /dev/null
+++ b/tests/test_copied_responses.py
@@ -0,0 +1,101 @@
+"""A second copy of a refusal is not taken for the end of the next attempt of the call.
+
+Guards against two attempts of one call out at a switch at once: the copy ended the second attempt, which the switch had
+not answered yet, and a third one was sent.
+"""
+
+import asyncio
+
+import pytest
+
+from tansyspur.net.recent_responses import COPY_WINDOW_S, RecentResponses
+from tests.async_runner import async_test
+from tests.world import Switch, World
+
+ANSWER_DELAY_S = 0.15
+CALLS = 4
+
+
+class CopyingSwitch(Switch):
+    """Refuses the first set-ups of each call with a status, repeats that copy_delay_s later, and answers the next.
+
+    As its base, it fails on a set-up that comes while another one of its call is open.
+    """
+
+    def __init__(self, name, number, status, copy_delay_s, refusals=1):
+        super().__init__(name, number)
+        self.status, self.copy_delay_s, self.refusals = status, copy_delay_s, refusals
+        self.attempts = {}  # number of set-ups by Call-ID
+
+    def handle_setup(self, action, call_id, writer=None):
+        loop = asyncio.get_running_loop()
+        writer = writer or self.origin[call_id]
+        number = self.attempts[call_id] = self.attempts.get(call_id, 0) + 1
+        if number <= self.refusals:
+            super().handle_setup(self.status, call_id, writer)
+            loop.call_later(self.copy_delay_s, self.send_copy, call_id, writer)
+        else:
+            loop.call_later(ANSWER_DELAY_S, super().handle_setup, "answer", call_id, writer)
+
+    def send_copy(self, call_id, writer):
+        status, _, note = self.status.partition(" ")
+        self.send(
+            writer, f"SIP/2.0 {status} No", call_id, "1 INVITE", f"X-Cause: {note}", self.refusal_header
+        )
+
+
+@pytest.mark.parametrize("status", ["500", "486", "480 all_trunks_busy", "503 via_said_no"])
+@pytest.mark.parametrize("copy_delay_s", [0.0, 0.005, 0.05])
+@async_test
+async def test_a_copied_refusal_does_not_end_the_next_attempt(status, copy_delay_s):
+    # The stand-in asserts that no set-up comes while another one of its call is open.
+    switch = CopyingSwitch("s-1", 1, status, copy_delay_s)
+    async with World(switch) as world:
+        caller = await world.caller()
+        for _ in range(CALLS):
+            assert (await caller.next(caller.set_up(1)))["type"] == "answer"
+        assert set(switch.attempts.values()) == {2}
+
+
+@async_test
+async def test_copies_of_several_refusals_in_a_row_end_no_attempt():
+    switch = CopyingSwitch("s-1", 1, "500", 0.05, refusals=3)
+    async with World(switch) as world:
+        caller = await world.caller()
+        for _ in range(CALLS):
+            assert (await caller.next(caller.set_up(1)))["type"] == "answer"
+        assert set(switch.attempts.values()) == {4}
+
+
+@async_test
+async def test_an_attempt_that_is_held_is_ended_by_a_drain_and_by_its_caller():
+    switch = CopyingSwitch("s-1", 1, "500", 0.005)
+    async with World(switch) as world:
+        caller = await world.caller()
+        held = caller.set_up(1)
+        await switch.next("INVITE", held)
+        world.channel.event(switch.entry("draining"))
+        assert (await caller.next(held))["type"] == "release"
+        await asyncio.sleep(2 * COPY_WINDOW_S)
+        assert switch.count("INVITE") == 1
+        world.channel.event(switch.entry())
+        await world.wait_for_log("draining to in service")
+        given_up = caller.set_up(1)
+        await switch.next("INVITE", given_up)
+        caller.send("release", given_up, cause=16)
+        await caller.next(given_up)
+        await asyncio.sleep(2 * COPY_WINDOW_S)
+        assert switch.attempts[given_up] == 1
+
+
+def test_a_window_is_kept_for_each_call_and_connection_and_forgotten_at_its_end():
+    recent = RecentResponses()
+    recent.add("a", "link 1", 10.0)
+    recent.add("a", "link 2", 10.0 + COPY_WINDOW_S / 2)
+    recent.add("b", "link 1", 10.0 + COPY_WINDOW_S / 2)
+    assert set(recent.windows("a", 10.0 + COPY_WINDOW_S / 2)) == {"link 1", "link 2"}
+    recent.add("a", "link 1", 10.0 + COPY_WINDOW_S * 0.75)  # once more
+    assert recent.windows("a", 10.0 + COPY_WINDOW_S * 1.6) == {"link 1": 10.0 + COPY_WINDOW_S * 1.75}
+    assert recent.windows("b", 10.0 + COPY_WINDOW_S * 2) == {}
+    assert recent.windows("a", 10.0 + COPY_WINDOW_S * 2) == {}
+    assert not recent._ends
