Log no error for the connections that are open when a process exits

Need: each replacement and each stop left lines of level error, MSGID "loop", without a text, one for each connection that was open: an operator who watches for errors sees some at every release.

Cause: asyncio's stream callback asks a cancelled task for its exception, and the event loop's exception handler logged str() of the CancelledError, which is empty.

Change: the handler passes over CancelledError, and logs the message and the exception otherwise.

Measured: test_the_exit_of_a_replaced_process_and_of_the_last_one_log_no_error failed before with three such lines, and passes.

--- a/tansyspur/__main__.py
+++ b/tansyspur/__main__.py
@@ -491,11 +491,17 @@
             await self.records.close()
 
 
+def log_loop_error(log: Syslog, context: dict[str, Any]) -> None:
+    """Log an exception that reached the event loop."""
+    exception = context.get("exception")
+    # The event loop reports the task of each connection that is still open when the process exits.
+    if not isinstance(exception, asyncio.CancelledError):
+        log("error", "loop", f"{context['message']}: {exception!r}" if exception else context["message"])
+
+
 async def serve(config: configuration.Config, log: Syslog, operator_path: str | None) -> int:
     """Run the gatekeeper until it is stopped. Returns the exit code."""
-    asyncio.get_running_loop().set_exception_handler(
-        lambda _, context: log("error", "loop", str(context.get("exception") or context["message"]))
-    )
+    asyncio.get_running_loop().set_exception_handler(lambda _, context: log_loop_error(log, context))
     return await Program(config, log, operator_path).run()
 
 
--- a/tests/test_operation.py
+++ b/tests/test_operation.py
@@ -68,6 +68,20 @@
         assert (await last.next(last.set_up(1)))["type"] == "answer"
 
 
+@async_test
+async def test_the_exit_of_a_replaced_process_and_of_the_last_one_log_no_error():
+    # Each connection that was open at an exit left a line "loop" of level error, without a text.
+    async with World(Switch("s-1", 1)) as world:
+        caller = await world.caller()
+        old = await world.start_successor()
+        old.terminate()
+        await old.wait()
+        await (await world.caller()).no_message_within(0.1)
+        await world.stop()
+        caller.close()
+    assert not [line for line in world.log_lines if line.startswith("<131>")]
+
+
 @async_test
 async def test_a_bad_message_of_a_client_does_not_part_the_two_processes():
     # Both took the other for gone, and the old process released its standing calls without telling their callers.
