--- a/tansyspur/__main__.py
+++ b/tansyspur/__main__.py
@@ -349,16 +349,28 @@
     def on_predecessor_message(self, message: Message) -> None:
         if isinstance(message, CallEnd):
             self.front.release_for_other_process(message)
-        elif isinstance(message, CallerRelease):
-            self.front.release_from_other_process(message)
-        elif isinstance(message, SwitchRelease):
-            self.on_switch_release(message)
-        elif isinstance(message, TakenIds):
-            self.front.take_ids_of_other_process(message)
-        elif isinstance(message, EventsStored):
-            self.apply_events_of_others()
         elif isinstance(message, ConfigurationRead):
             self.reload()
+        else:
+            self.on_partner_message(message)
+
+    def on_successor_message(self, successor: Partner, message: Message) -> None:
+        if isinstance(message, Serving):
+            self.on_successor_serving(successor)
+        else:
+            self.on_partner_message(message)
+
+    def on_partner_message(self, message: Message) -> None:
+        """Handle a message that either of the other processes may send."""
+        match message:
+            case CallerRelease():
+                self.front.release_from_other_process(message)
+            case SwitchRelease():
+                self.on_switch_release(message)
+            case TakenIds():
+                self.front.take_ids_of_other_process(message)
+            case EventsStored():
+                self.apply_events_of_others()
 
     def on_switch_release(self, release: SwitchRelease) -> None:
         """A switch released a call of this process on a connection of the other one."""
@@ -366,29 +378,22 @@
             if switch.name == release.switch and not switch.retired:
                 switch.release_from_other_process(release)
 
-    def on_successor_message(self, successor: Partner, message: Message) -> None:
-        """Handle a message: the successor serves the callers from now on, or passes a release on."""
-        if isinstance(message, Serving):
-            # Nothing new is accepted here, and releases without a connection here are sent through the successor.
-            self.log(
-                "notice",
-                "handover",
-                "the successor serves; no longer accepting callers",
-                calls=len(self.gatekeeper.calls),
-            )
-            self.front.stop_accepting()
-            self.peers.close()
-            self.gatekeeper.messenger = None
-            self.front.send_to_other_process, self.front.handed_over = successor.send, True
-            self.front.forward_pending_releases()
-        elif isinstance(message, CallerRelease):
-            self.front.release_from_other_process(message)
-        elif isinstance(message, SwitchRelease):
-            self.on_switch_release(message)
-        elif isinstance(message, TakenIds):
-            self.front.take_ids_of_other_process(message)
-        elif isinstance(message, EventsStored):
-            self.apply_events_of_others()
+    def on_successor_serving(self, successor: Partner) -> None:
+        """The successor serves the callers from now on.
+
+        Nothing new is accepted here, and releases without a connection here are sent through the successor.
+        """
+        self.log(
+            "notice",
+            "handover",
+            "the successor serves; no longer accepting callers",
+            calls=len(self.gatekeeper.calls),
+        )
+        self.front.stop_accepting()
+        self.peers.close()
+        self.gatekeeper.messenger = None
+        self.front.send_to_other_process, self.front.handed_over = successor.send, True
+        self.front.forward_pending_releases()
 
     def on_successor_changed(self) -> None:
         self.front.set_connection_limit(self.max_connections())
--- a/tansyspur/net/sip_messages.py
+++ b/tansyspur/net/sip_messages.py
@@ -21,6 +21,7 @@
     "t": "to",
     "m": "contact",
 }
+INVITE_CSEQ = 1  # of each set-up; its answers, and the ACK and CANCEL, have the same
 SINGLE_HEADERS = ("call-id", "cseq", "content-length")
 
 
