Open a connection for the next attempt of a call that would have to wait

Change: an attempt that would have to wait has another connection opened, up to three; it goes out there at once, and waits only where all of them are in the window.

Measured: test_the_next_attempt_goes_out_at_once_where_another_connection_is_open, and the others of test_copied_responses.py, pass.

--- a/tansyspur/net/sip.py
+++ b/tansyspur/net/sip.py
@@ -43,6 +43,7 @@
 PARTIAL_MESSAGE_TIMEOUT_S = 0.2  # a message that has begun must be complete by then
 MAX_CANCELLED_IDS = 1000
 MAX_CONNECTIONS = 4
+MAX_CONNECTIONS_FOR_ATTEMPTS = 3  # opened only so that the next attempt of a call need not wait
 MAX_TIMED_PINGS = 16  # that are not answered yet
 # A connection on which nothing was received for this long gets a ping: soon while a set-up is open, as its caller
 # waits, and while a call is standing, as its end must be known within a second.
@@ -103,6 +104,7 @@
         self.links: list[Link] = []
         self.legs: dict[str, SipLeg] = {}  # waiting, sent or standing, by Call-ID
         self.waiting_legs: list[SipLeg] = []  # for a connection
+        self.delayed_legs: list[SipLeg] = []  # until no copy of an earlier response can come
         self.recent_responses = RecentResponses()
         self.pending_releases = PendingReleases()
         self.closed_as_silent: set[Link] = set()  # aborted as silent, and not removed from links yet
@@ -153,11 +155,15 @@
         """
         if leg.ended or self.retired:
             return
+        if leg in self.delayed_legs:
+            self.delayed_legs.remove(leg)
         windows = self.recent_responses.windows(leg.call_id, self.loop.time())
         if link := self._usable_link(windows):
             leg.send(link)
         elif windows and self._usable_link():
+            self.delayed_legs.append(leg)
             leg.wait_timer = self.loop.call_at(min(windows.values()), self._send_or_wait, leg)
+            self.wake_event.set()
         else:
             self.waiting_legs.append(leg)
             leg.wait_timer = self.loop.call_later(self.dial_timeout_s, leg.fail_no_route)
@@ -374,12 +380,15 @@
                     await self.wake_event.wait()
 
     async def _connect_if_needed(self) -> float:
-        """Open a connection if none is usable, or if a release may have been lost. Returns the delay to the next check.
+        """Open a connection if none is usable, a release may have been lost, or a set-up waits for another connection.
 
-        Seconds. The delay is that to the next connection attempt where none is usable.
+        Returns the delay to the next check in seconds: that to the next connection attempt where none is usable.
         """
         urgent = self._usable_link() is None or bool(self.waiting_legs)
-        if not urgent and not (self._needs_new_connection() and self.loop.time() >= self.next_connection_at):
+        wanted = self._needs_new_connection() or (
+            bool(self.delayed_legs) and len(self.links) < MAX_CONNECTIONS_FOR_ATTEMPTS
+        )
+        if not urgent and not (wanted and self.loop.time() >= self.next_connection_at):
             return CHECK_INTERVAL_S
         connected = False
         try:
@@ -431,6 +440,10 @@
         waiting_legs, self.waiting_legs = self.waiting_legs, []
         for leg in waiting_legs:
             leg.send(link)
+        for leg in self.delayed_legs[:]:
+            if leg.wait_timer:
+                leg.wait_timer.cancel()
+            self._send_or_wait(leg)
         return True
 
     async def _read_link(self, link: Link) -> None:
@@ -526,8 +539,9 @@
         if self.legs.get(leg.call_id) is leg:
             del self.legs[leg.call_id]
             self.leases.call_ended(leg.call_id)
-        if leg in self.waiting_legs:
-            self.waiting_legs.remove(leg)
+        for legs in (self.waiting_legs, self.delayed_legs):
+            if leg in legs:
+                legs.remove(leg)
 
     def send_bye(self, call_id: str, cause: int, link: Link | None) -> None:
         """Release a standing call on the connection of its set-up, or else on any other.
--- a/tests/test_copied_responses.py
+++ b/tests/test_copied_responses.py
@@ -9,6 +9,7 @@
 import pytest
 
 from tansyspur.net.recent_responses import COPY_WINDOW_S, RecentResponses
+from tansyspur.net.sip import MAX_CONNECTIONS_FOR_ATTEMPTS
 from tests.async_runner import async_test
 from tests.world import Switch, World
 
@@ -26,10 +27,12 @@
         super().__init__(name, number)
         self.status, self.copy_delay_s, self.refusals = status, copy_delay_s, refusals
         self.attempts = {}  # number of set-ups by Call-ID
+        self.origins = {}  # connections of the set-ups by Call-ID
 
     def handle_setup(self, action, call_id, writer=None):
         loop = asyncio.get_running_loop()
         writer = writer or self.origin[call_id]
+        self.origins.setdefault(call_id, []).append(writer)
         number = self.attempts[call_id] = self.attempts.get(call_id, 0) + 1
         if number <= self.refusals:
             super().handle_setup(self.status, call_id, writer)
@@ -67,6 +70,21 @@
         assert set(switch.attempts.values()) == {4}
 
 
+@async_test
+async def test_the_next_attempt_goes_out_at_once_where_another_connection_is_open():
+    # Each faulty set-up of a switch that fails many would otherwise cost the whole window.
+    switch = CopyingSwitch("s-1", 1, "500", 0.005)
+    async with World(switch) as world:
+        caller = await world.caller()
+        for _ in range(CALLS):
+            call = caller.set_up(1)
+            assert (await caller.next(call))["type"] == "answer"
+        connections = len(switch.writers)
+        assert 1 < connections <= MAX_CONNECTIONS_FOR_ATTEMPTS
+        # Attempts of one call, one after the other, on different connections.
+        assert len(set(switch.origins[call])) == 2
+
+
 @async_test
 async def test_an_attempt_that_is_held_is_ended_by_a_drain_and_by_its_caller():
     switch = CopyingSwitch("s-1", 1, "500", 0.005)
