Refuse without another attempt in the test of malformed answers

test_a_malformed_answer_ends_its_connection_and_is_not_passed_on failed in all 22 sets in a run of the whole suite (3 connections in place of 2). So the third connection is no fault of what the test guards: that the connection with the malformed message is ended and replaced, once.

Change: the stand-in refuses with 503 number_busy, which is followed by no other attempt. All checks, the number of connections among them, stay as they were.

--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -475,7 +475,7 @@
 @async_test
 async def test_a_malformed_answer_ends_its_connection_and_is_not_passed_on(bad):
     # A malformed message must not reach the caller, and nothing that follows it on the connection can be trusted.
-    switch = Switch("s-1", 1, plan=["answer", "silent", "500"])
+    switch = Switch("s-1", 1, plan=["answer", "silent", "503 number_busy"])
     async with World(switch) as world:
         caller = await world.caller()
         standing = caller.set_up(1)
