Test held attempts where no other connection can come up

test_an_attempt_that_is_held_is_ended_by_a_drain_and_by_its_caller failed once, in the run of the whole suite beside load (2 set-ups in place of 1).

Change: the test drives SipSwitch itself, with a switch that takes no further connection and a window that does not end. It checks the same (no set-up after a drain, none after the give-up) and besides that nothing is kept of the leg.

--- a/tests/test_copied_responses.py
+++ b/tests/test_copied_responses.py
@@ -8,10 +8,14 @@
 
 import pytest
 
+from tansyspur.core.metrics import Metrics
+from tansyspur.core.ports import Offer, SetUpRequest
+from tansyspur.interface import Outcome
+from tansyspur.net import recent_responses
 from tansyspur.net.recent_responses import COPY_WINDOW_S, RecentResponses
-from tansyspur.net.sip import MAX_CONNECTIONS_FOR_ATTEMPTS
+from tansyspur.net.sip import MAX_CONNECTIONS_FOR_ATTEMPTS, SipSwitch
 from tests.async_runner import async_test
-from tests.world import Switch, World
+from tests.world import WAIT_TIMEOUT_S, Switch, World
 
 ANSWER_DELAY_S = 0.15
 CALLS = 4
@@ -86,24 +90,35 @@
 
 
 @async_test
-async def test_an_attempt_that_is_held_is_ended_by_a_drain_and_by_its_caller():
-    switch = CopyingSwitch("s-1", 1, "500", 0.005)
-    async with World(switch) as world:
-        caller = await world.caller()
-        held = caller.set_up(1)
-        await switch.next("INVITE", held)
-        world.channel.event(switch.entry("draining"))
-        assert (await caller.next(held))["type"] == "release"
-        await asyncio.sleep(2 * COPY_WINDOW_S)
-        assert switch.count("INVITE") == 1
-        world.channel.event(switch.entry())
-        await world.wait_for_log("draining to in service")
-        given_up = caller.set_up(1)
-        await switch.next("INVITE", given_up)
-        caller.send("release", given_up, cause=16)
-        await caller.next(given_up)
-        await asyncio.sleep(2 * COPY_WINDOW_S)
-        assert switch.attempts[given_up] == 1
+async def test_an_attempt_that_is_held_is_ended_by_a_drain_and_by_its_caller(monkeypatch):
+    monkeypatch.setattr(recent_responses, "COPY_WINDOW_S", WAIT_TIMEOUT_S)  # held until the test ends it
+    switch, signals = await CopyingSwitch("s-1", 1, "500", 0.005).start(), asyncio.Queue()
+    adapter = SipSwitch(
+        "s-1", f"127.0.0.1:{switch.port}", lambda report: None, lambda *args, **params: None, 0.5, Metrics(),
+        lambda: None,
+    )  # fmt: skip
+
+    def start_attempt():
+        offer = Offer("00000000000000aa", "lookup", 4000, 1, "1", "o=caller\r\n")
+        request = SetUpRequest(offer, 0, 4000)
+        return adapter.start_attempt(request, lambda: True, lambda: None, signals.put_nowait)
+
+    async with asyncio.timeout(WAIT_TIMEOUT_S):
+        await adapter.first_dial_done.wait()
+        switch.server.close()  # no other connection, on which an attempt would go out at once
+        start_attempt()
+        assert (await signals.get()).outcome is Outcome.FAULT
+        held_at_drain = start_attempt()
+        assert adapter.delayed_legs == [held_at_drain]
+        adapter.stop_new_attempts()
+        assert (await signals.get()).outcome is Outcome.NOT_SENT
+        given_up = start_attempt()
+        assert adapter.delayed_legs == [given_up]
+        given_up.cancel()
+    assert held_at_drain.ended and given_up.ended and not adapter.delayed_legs and not adapter.legs
+    await asyncio.sleep(0.1)
+    assert signals.empty() and switch.count("INVITE") == 1 and switch.count("CANCEL") == 0
+    adapter.close()
 
 
 def test_a_window_is_kept_for_each_call_and_connection_and_forgotten_at_its_end():
